--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Targets are the project's whole interface: `make demo` and `make test` need
+# nothing but Go, make and a network path to the Go module proxy.
+GO ?= go
+GOBIN := $(shell $(GO) env GOPATH)/bin
+GOLANGCI_VERSION := v2.12.2
+PROTOC_GEN_GO_VERSION := v1.36.12
+TEST_FLAGS ?= -race -count=1 -timeout=7m
+RAPID_FLAGS ?= -rapid.seed=1
+
+.PHONY: build generate check-generated fmt check-fmt tools lint vet test unit demo bench fuzz capacity
+
+build: ## Build every program into bin/
+	$(GO) build -o bin/ ./cmd/...
+
+generate: ## Regenerate the protobuf code (needs protoc)
+	@for dir in peer logrec; do \
+	  PATH="$(GOBIN):$$PATH" protoc -I proto/$$dir --go_out=. \
+	    --go_opt=module=github.com/balsamhitch/balsamhitch proto/$$dir/*.proto || exit 1; \
+	done
+
+check-generated: ## Fail if the committed protobuf code is out of date
+	@.ci/check-generated
+
+fmt: ## Format all Go files
+	gofmt -w $$(git ls-files '*.go')
+
+check-fmt: ## Fail if a Go file is not formatted
+	@out=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+
+tools: ## Install the pinned linter and generator
+	@$(GOBIN)/golangci-lint version 2>/dev/null | grep -qF "$(GOLANGCI_VERSION:v%=%)" || \
+	  $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	@$(GOBIN)/protoc-gen-go --version 2>/dev/null | grep -qF "$(PROTOC_GEN_GO_VERSION)" || \
+	  $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+
+lint: tools ## Run the linter
+	$(GOBIN)/golangci-lint run ./...
+
+vet: ## Run go vet
+	$(GO) vet ./...
+
+unit: ## Run all tests with the race detector
+	$(GO) test $(TEST_FLAGS) ./...
+
+test: check-fmt vet lint check-generated build ## Run everything that CI checks
+	@.ci/run-tests
--- /dev/null
+++ b/cmd/balsam-sched/main.go
@@ -0,0 +1,4 @@
+// Command balsam-sched holds partitions: team queues, racks and target groups.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/port/errors.go
@@ -0,0 +1,11 @@
+package port
+
+import "github.com/zeebo/errs"
+
+// NotStarted is the class of errors that prove that a call had no effect, such
+// as a refused connection or an explicit refusal.
+var NotStarted = errs.Class("not started")
+
+// LogTruncated is the class of read errors for offsets that the log no longer
+// keeps.
+var LogTruncated = errs.Class("log truncated")
