--- /dev/null
+++ b/internal/adapter/settings/settings.go
@@ -0,0 +1,165 @@
+package settings
+
+import "time"
+
+// Sched is the settings of balsam-sched.
+type Sched struct {
+	// Member names the process; a ULID is generated when it is empty.
+	Member         string   `toml:"member"`
+	Address        string   `toml:"address"` // host:port for peers
+	MetricsAddress string   `toml:"metrics_address"`
+	FailureDomain  string   `toml:"failure_domain"`
+	Platform       Platform `toml:"platform"`
+	Lease          Lease    `toml:"lease"`
+	Config         Config   `toml:"config"`
+	Policy         Policy   `toml:"policy"`
+	Limits         Limits   `toml:"limits"`
+	Log            Logging  `toml:"log"`
+}
+
+// Entry is the settings of balsam-entry.
+type Entry struct {
+	Listen         string `toml:"listen"` // host:port for callers
+	MetricsAddress string `toml:"metrics_address"`
+	FailureDomain  string `toml:"failure_domain"`
+	// Sched is the peer address of the balsam-sched on the same VM.
+	Sched    string       `toml:"sched"`
+	Platform Platform     `toml:"platform"`
+	Config   Config       `toml:"config"`
+	Limits   EntryLimits  `toml:"limits"`
+	Timeouts EntryTimeout `toml:"timeouts"`
+	Log      Logging      `toml:"log"`
+}
+
+// Ctl is the settings of balsamctl.
+type Ctl struct {
+	Platform Platform      `toml:"platform"`
+	Timeout  time.Duration `toml:"timeout"` // until a change must be in force
+}
+
+// Platform is where the platform's services are.
+type Platform struct {
+	Log    string `toml:"log"`     // base URL
+	VMList string `toml:"vm_list"` // base URL
+}
+
+// Lease is how a scheduler keeps its partitions.
+type Lease struct {
+	Renew    time.Duration `toml:"renew"`    // between renewals
+	Duration time.Duration `toml:"duration"` // from a renewal to its lapse
+	Drift    time.Duration `toml:"drift"`    // added by whoever claims
+}
+
+// Config is how a process follows the configuration.
+type Config struct {
+	// FreshFor is how long a snapshot may be used after the process last
+	// learned that no newer one exists.
+	FreshFor time.Duration `toml:"fresh_for"`
+}
+
+// The scheduling policies.
+const (
+	PolicyWaiting = "waiting" // shortest waiting time first
+	PolicyShare   = "share"   // lowest share first
+)
+
+// Policy is what the scheduler optimizes.
+type Policy struct {
+	Name        string        `toml:"name"`
+	OfferWindow time.Duration `toml:"offer_window"` // offers are batched this long
+	Candidates  int           `toml:"candidates"`   // partitions tried per choice
+}
+
+// Limits bounds what a scheduler holds and how long it waits.
+type Limits struct {
+	MaxMessage      Size          `toml:"max_message"`  // one peer message
+	MaxAnswers      int           `toml:"max_answers"`  // recorded per team
+	KeepAnswers     time.Duration `toml:"keep_answers"` // for callers that ask again
+	MaxAnswerMemory Size          `toml:"max_answer_memory"`
+	DrainTimeout    time.Duration `toml:"drain_timeout"`
+}
+
+// EntryLimits bounds what an entry accepts.
+type EntryLimits struct {
+	MaxBody     Size `toml:"max_body"`
+	MaxHeader   Size `toml:"max_header"`
+	MaxInFlight int  `toml:"max_in_flight"`
+	// MaxConnections bounds callers' connections.
+	MaxConnections int `toml:"max_connections"`
+}
+
+// EntryTimeout bounds how long an entry waits for callers and targets.
+type EntryTimeout struct {
+	Header   time.Duration `toml:"header"`
+	Read     time.Duration `toml:"read"`
+	Idle     time.Duration `toml:"idle"`
+	Deadline time.Duration `toml:"deadline"` // of requests that state none
+	Drain    time.Duration `toml:"drain"`
+}
+
+// The formats and levels of logs.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
+
+// Logging is what is logged and how.
+type Logging struct {
+	Level  string `toml:"level"`
+	Format string `toml:"format"`
+}
+
+// DefaultSched returns the values of settings that a file leaves out.
+func DefaultSched() Sched {
+	return Sched{
+		Lease: Lease{
+			Renew:    500 * time.Millisecond,
+			Duration: 1500 * time.Millisecond,
+			Drift:    100 * time.Millisecond,
+		},
+		Config: defaultConfig(),
+		Policy: Policy{Name: PolicyWaiting, OfferWindow: 2 * time.Millisecond, Candidates: 3},
+		Limits: Limits{
+			MaxMessage:      4 * MiB,
+			MaxAnswers:      10_000,
+			KeepAnswers:     10 * time.Minute,
+			MaxAnswerMemory: 8 * MiB,
+			DrainTimeout:    30 * time.Second,
+		},
+		Log: defaultLogging(),
+	}
+}
+
+// DefaultEntry returns the values of settings that a file leaves out.
+func DefaultEntry() Entry {
+	return Entry{
+		Config: defaultConfig(),
+		Limits: EntryLimits{
+			MaxBody:        1 * MiB,
+			MaxHeader:      16 * KiB,
+			MaxInFlight:    4096,
+			MaxConnections: 8192,
+		},
+		Timeouts: EntryTimeout{
+			Header:   5 * time.Second,
+			Read:     15 * time.Second,
+			Idle:     60 * time.Second,
+			Deadline: 10 * time.Second,
+			Drain:    30 * time.Second,
+		},
+		Log: defaultLogging(),
+	}
+}
+
+// DefaultCtl returns the values of settings that a file leaves out.
+func DefaultCtl() Ctl {
+	return Ctl{Timeout: 15 * time.Second}
+}
+
+func defaultConfig() Config {
+	return Config{FreshFor: 3 * time.Second}
+}
+
+func defaultLogging() Logging {
+	return Logging{Level: "info", Format: FormatText}
+}
