--- a/internal/core/model/work.go
+++ b/internal/core/model/work.go
@@ -72,6 +72,7 @@
 	TeamEpoch      Epoch
 	Partition      PartitionID
 	PartitionEpoch Epoch
+	Sequence       uint64 // counts the grants of one team epoch
 	Size           Resources
 	// Ratio is the team's dominant share divided by its weight at the time of
 	// the grant; owners serve the lowest first.
--- /dev/null
+++ b/internal/core/permit/ledger.go
@@ -0,0 +1,318 @@
+// Package permit keeps a team's upper limit exact across the fleet: the ledger
+// of the team's owner counts every permit as used until the partition that it
+// is bound to has told its end, and the fence of that partition refuses
+// permits that the team's owner has given up.
+package permit
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+// OverLimit is the class of errors for grants that the upper limit forbids.
+var OverLimit = errs.Class("over the upper limit")
+
+// Entry is one permit that counts as used.
+type Entry struct {
+	Permit  model.Permit
+	Granted time.Duration // reading of the owner's clock
+	Task    model.TaskID  // empty for quick requests
+	Job     model.JobID
+	Attempt int
+	// Adopted marks a permit that a former owner granted and a partition
+	// reported as held.
+	Adopted bool
+}
+
+// partitionState is what the ledger knows of a partition.
+type partitionState struct {
+	epoch   model.Epoch
+	certain bool
+	// bound is the most that the partition could hold for the team while it
+	// is not certain.
+	bound model.Resources
+	used  model.Resources // by permits known to be bound to the partition
+}
+
+// Ledger counts what one team uses across the fleet. It is not safe for
+// concurrent use.
+type Ledger struct {
+	team       model.TeamID
+	epoch      model.Epoch
+	limit      model.Resources
+	sequence   uint64
+	used       model.Resources
+	entries    map[string]Entry
+	partitions map[model.PartitionID]*partitionState
+}
+
+// NewLedger returns the ledger for the tenure that epoch names. Until every
+// partition that Expect names has been settled, what it could hold counts as
+// used.
+func NewLedger(team model.TeamID, epoch model.Epoch) *Ledger {
+	return &Ledger{
+		team:       team,
+		epoch:      epoch,
+		entries:    map[string]Entry{},
+		partitions: map[model.PartitionID]*partitionState{},
+	}
+}
+
+// SetLimit replaces the upper limit. A limit below the present use lets no new
+// permit through until enough have ended.
+func (l *Ledger) SetLimit(limit model.Resources) {
+	l.limit = limit
+}
+
+// Limit returns the upper limit.
+func (l *Ledger) Limit() model.Resources {
+	return l.limit
+}
+
+// Expect names a partition that may hold permits of former owners, and the
+// most that it could hold. It has no effect on a partition already known.
+func (l *Ledger) Expect(id model.PartitionID, bound model.Resources) {
+	if _, ok := l.partitions[id]; ok {
+		return
+	}
+	l.partitions[id] = &partitionState{bound: bound}
+}
+
+// Unsettled returns the partitions whose use is not certain.
+func (l *Ledger) Unsettled() []model.PartitionID {
+	var ids []model.PartitionID
+	for id, state := range l.partitions {
+		if !state.certain {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Used returns what counts as used: all entries, and for each uncertain
+// partition the rest of what it could hold.
+func (l *Ledger) Used() model.Resources {
+	total := l.used
+	for _, state := range l.partitions {
+		if state.certain {
+			continue
+		}
+		hidden := state.bound.Sub(state.used)
+		total = total.Add(hidden.Max(model.Resources{}))
+	}
+	return total
+}
+
+// Known returns the sum of all entries.
+func (l *Ledger) Known() model.Resources {
+	return l.used
+}
+
+// Grant returns a new permit for size on the partition, or an OverLimit error.
+// The partition must be settled for the epoch.
+func (l *Ledger) Grant(id model.PartitionID, epoch model.Epoch, size model.Resources, now time.Duration) (model.Permit, error) {
+	state := l.partitions[id]
+	if state == nil || !state.certain || state.epoch != epoch {
+		return model.Permit{}, OverLimit.New("partition %s is not settled for epoch %d", id, epoch)
+	}
+	if !l.Used().Add(size).Fits(l.limit) {
+		return model.Permit{}, OverLimit.New("team %s", l.team)
+	}
+	l.sequence++
+	p := model.Permit{
+		ID:             fmt.Sprintf("%s.%d.%d", l.team, l.epoch, l.sequence),
+		Team:           l.team,
+		TeamEpoch:      l.epoch,
+		Partition:      id,
+		PartitionEpoch: epoch,
+		Sequence:       l.sequence,
+		Size:           size,
+	}
+	l.insert(Entry{Permit: p, Granted: now})
+	return p, nil
+}
+
+// Bind notes which task a granted permit is for.
+func (l *Ledger) Bind(id string, job model.JobID, task model.TaskID, attempt int) {
+	entry, ok := l.entries[id]
+	if !ok {
+		return
+	}
+	entry.Job = job
+	entry.Task = task
+	entry.Attempt = attempt
+	l.entries[id] = entry
+}
+
+// Release ends a permit. It returns its entry and false if the permit is not
+// known, as after a repeated release.
+func (l *Ledger) Release(id string) (Entry, bool) {
+	entry, ok := l.entries[id]
+	if !ok {
+		return Entry{}, false
+	}
+	delete(l.entries, id)
+	l.used = l.used.Sub(entry.Permit.Size)
+	if state := l.partitions[entry.Permit.Partition]; state != nil {
+		state.used = state.used.Sub(entry.Permit.Size)
+	}
+	return entry, true
+}
+
+// Lookup returns the entry of a permit.
+func (l *Ledger) Lookup(id string) (Entry, bool) {
+	entry, ok := l.entries[id]
+	return entry, ok
+}
+
+// Unsettle marks a partition that a new owner holds: its permits stay used and
+// nothing more is granted on it until Settle.
+func (l *Ledger) Unsettle(id model.PartitionID, bound model.Resources) {
+	state := l.partitions[id]
+	if state == nil {
+		l.Expect(id, bound)
+		return
+	}
+	state.certain = false
+	state.bound = bound
+}
+
+// Epoch returns the epoch for which the partition is settled.
+func (l *Ledger) Epoch(id model.PartitionID) (model.Epoch, bool) {
+	state := l.partitions[id]
+	if state == nil || !state.certain {
+		return 0, false
+	}
+	return state.epoch, true
+}
+
+// Settle takes over a partition's complete list of what it holds for the team.
+// Permits in it that the ledger does not know are adopted. Those bound to an
+// earlier epoch of the partition that are missing from it have certainly
+// ended; Settle releases and returns them. So have permits of the same epoch
+// with a sequence below minSequence, the floor that the query raised.
+func (l *Ledger) Settle(id model.PartitionID, epoch model.Epoch, minSequence uint64, held []Entry) []Entry {
+	state := l.partitions[id]
+	if state == nil {
+		state = &partitionState{}
+		l.partitions[id] = state
+	}
+	state.epoch = epoch
+	state.certain = true
+	listed := make(map[string]bool, len(held))
+	for _, entry := range held {
+		listed[entry.Permit.ID] = true
+		l.adopt(entry)
+	}
+	var ended []Entry
+	for permitID, entry := range l.entries {
+		if entry.Permit.Partition != id || listed[permitID] {
+			continue
+		}
+		if l.expired(entry.Permit, epoch, minSequence) {
+			ended = append(ended, entry)
+		}
+	}
+	for _, entry := range ended {
+		l.Release(entry.Permit.ID)
+	}
+	return ended
+}
+
+// expired reports whether a permit that its partition does not list can never
+// be used any more.
+func (l *Ledger) expired(p model.Permit, epoch model.Epoch, minSequence uint64) bool {
+	if p.PartitionEpoch < epoch || p.TeamEpoch < l.epoch {
+		return true
+	}
+	return p.Sequence < minSequence
+}
+
+// Forget drops a partition that no longer exists together with its permits,
+// which it returns. The caller vouches that nothing can run there any more.
+func (l *Ledger) Forget(id model.PartitionID) []Entry {
+	var ended []Entry
+	for _, entry := range l.entries {
+		if entry.Permit.Partition == id {
+			ended = append(ended, entry)
+		}
+	}
+	for _, entry := range ended {
+		l.Release(entry.Permit.ID)
+	}
+	delete(l.partitions, id)
+	return ended
+}
+
+// OldestUnbound returns the smallest sequence of this epoch that was granted
+// at or after the given time, which is the floor for giving up older unused
+// permits.
+func (l *Ledger) OldestUnbound(granted time.Duration) uint64 {
+	lowest := l.sequence + 1
+	for _, entry := range l.entries {
+		if entry.Adopted || entry.Granted < granted {
+			continue
+		}
+		lowest = min(lowest, entry.Permit.Sequence)
+	}
+	return lowest
+}
+
+// PartitionsWithOlder returns the partitions that have permits of this epoch
+// granted before the given time.
+func (l *Ledger) PartitionsWithOlder(granted time.Duration) []model.PartitionID {
+	seen := map[model.PartitionID]bool{}
+	var ids []model.PartitionID
+	for _, entry := range l.entries {
+		id := entry.Permit.Partition
+		if entry.Adopted || entry.Granted >= granted || entry.Task != "" || seen[id] {
+			continue
+		}
+		seen[id] = true
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Check is the invariant of the ledger: its sums match its entries, and grants
+// have not taken it over the limit in force when they were made.
+func (l *Ledger) Check() error {
+	var sum model.Resources
+	perPartition := map[model.PartitionID]model.Resources{}
+	for _, entry := range l.entries {
+		sum = sum.Add(entry.Permit.Size)
+		id := entry.Permit.Partition
+		perPartition[id] = perPartition[id].Add(entry.Permit.Size)
+	}
+	if sum != l.used {
+		return errs.New("ledger of %s: used %+v, entries sum to %+v", l.team, l.used, sum)
+	}
+	for id, state := range l.partitions {
+		if perPartition[id] != state.used {
+			return errs.New("ledger of %s: %s has %+v, entries sum to %+v", l.team, id, state.used, perPartition[id])
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) adopt(entry Entry) {
+	if _, ok := l.entries[entry.Permit.ID]; ok {
+		return
+	}
+	entry.Adopted = true
+	l.insert(entry)
+}
+
+func (l *Ledger) insert(entry Entry) {
+	l.entries[entry.Permit.ID] = entry
+	l.used = l.used.Add(entry.Permit.Size)
+	id := entry.Permit.Partition
+	if l.partitions[id] == nil {
+		l.partitions[id] = &partitionState{}
+	}
+	l.partitions[id].used = l.partitions[id].used.Add(entry.Permit.Size)
+}
