--- a/internal/core/model/ids.go
+++ b/internal/core/model/ids.go
@@ -1,7 +1,12 @@
 // Package model holds the nouns that every part of balsamhitch shares.
 package model
 
-import "strings"
+import (
+	"strconv"
+	"strings"
+
+	"github.com/zeebo/errs"
+)
 
 // MemberID names one balsam-sched process for its lifetime. A replaced
 // process never reuses the id of its predecessor.
@@ -77,3 +82,18 @@
 	_, name, _ := strings.Cut(string(p), "/")
 	return name
 }
+
+// NewTask returns the id of the job's task with the index.
+func NewTask(job JobID, index int) TaskID {
+	return TaskID(string(job) + "/" + strconv.Itoa(index))
+}
+
+// SplitTask returns the job and index of a task id.
+func SplitTask(task TaskID) (JobID, int, error) {
+	job, text, _ := strings.Cut(string(task), "/")
+	index, err := strconv.Atoi(text)
+	if err != nil || index < 0 {
+		return "", 0, errs.New("task id %q has no index", task)
+	}
+	return JobID(job), index, nil
+}
--- /dev/null
+++ b/internal/core/team/state.go
@@ -0,0 +1,210 @@
+// Package team decides for one team: which of its requests and tasks may start
+// next under its upper limit, and what is known of each. It is pure: time
+// comes in as readings of the owner's clock, effects go out as return values.
+package team
+
+import (
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/journal"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/permit"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+)
+
+// maxTries bounds the failed attempts of one task.
+const maxTries = 3
+
+// State is everything that a team's owner knows. It is not safe for concurrent
+// use.
+type State struct {
+	template model.WorkspaceTemplate
+	epoch    model.Epoch
+	ledger   *permit.Ledger
+	total    model.Resources // of the cell, for the dominant share
+	answers  *answers
+	jobs     map[model.JobID]*job
+	byKey    map[string]model.JobID
+	ready    readyQueue
+	waiting  int // tasks that wait
+	outbox   outbox
+}
+
+// New returns the state of a new tenure. Jobs follow by AddJob, use by the
+// ledger's Expect and Settle.
+func New(team model.TeamID, epoch model.Epoch) *State {
+	return &State{
+		template: model.WorkspaceTemplate{Team: team},
+		epoch:    epoch,
+		ledger:   permit.NewLedger(team, epoch),
+		answers:  newAnswers(),
+		jobs:     map[model.JobID]*job{},
+		byKey:    map[string]model.JobID{},
+		outbox:   newOutbox(team),
+	}
+}
+
+// SetTemplate puts a revised template in force.
+func (s *State) SetTemplate(template model.WorkspaceTemplate) {
+	s.template = template
+	s.ledger.SetLimit(template.UpperLimit)
+}
+
+// Template returns the template in force.
+func (s *State) Template() model.WorkspaceTemplate {
+	return s.template
+}
+
+// SetTotal tells the capacity of the cell.
+func (s *State) SetTotal(total model.Resources) {
+	s.total = total
+}
+
+// Ledger returns the ledger of the team's permits.
+func (s *State) Ledger() *permit.Ledger {
+	return s.ledger
+}
+
+// Waiting returns how many tasks wait.
+func (s *State) Waiting() int {
+	return s.waiting
+}
+
+// Ratio returns the dominant share in use divided by the team's share.
+func (s *State) Ratio() float64 {
+	weight := s.template.Share
+	if weight <= 0 {
+		weight = 1
+	}
+	return s.ledger.Known().DominantShare(s.total) / weight
+}
+
+// Quick is the turn that a quick request asks for.
+type Quick struct {
+	Request       model.RequestID
+	Key           string // idempotency key, may be empty
+	NonIdempotent bool
+}
+
+// Admission is what is known of a quick request before it may run.
+type Admission struct {
+	Standing Standing
+	// NeedsIntent asks the caller to put an intent on the log first.
+	NeedsIntent bool
+	Request     model.RequestID // that the key belongs to
+	Outcome     model.Outcome   // of an ended request
+	Answer      model.Answer
+}
+
+// Admit notes a quick request and tells whether its key is known.
+func (s *State) Admit(q Quick, now time.Duration) Admission {
+	standing, known := s.answers.begin(q.Key, q.Request, now)
+	admission := Admission{Standing: standing, Request: q.Request}
+	if known != nil {
+		admission.Request = known.request
+		admission.Outcome = known.outcome
+		admission.Answer = known.body
+	}
+	admission.NeedsIntent = q.NonIdempotent && q.Key != "" && standing == KeyNew
+	return admission
+}
+
+// AddIntent takes over an intent from the journal. It returns false when the
+// key belongs to another request, whose outcome is then unknown here unless
+// its end is known.
+func (s *State) AddIntent(intent *logpb.Intent, now time.Duration) {
+	request := model.RequestID(intent.GetRequestId())
+	standing, known := s.answers.begin(intent.GetIdempotencyKey(), request, now)
+	if standing == KeyNew {
+		// Nobody here sent it: a former owner may have.
+		s.answers.end(intent.GetIdempotencyKey(), request, model.OutcomeUnknown, model.Answer{}, now)
+		return
+	}
+	if known != nil && !known.ended && known.request != request {
+		// Another owner's intent came first in the log.
+		known.request = request
+		s.answers.end(intent.GetIdempotencyKey(), request, model.OutcomeUnknown, model.Answer{}, now)
+	}
+}
+
+// GrantQuick returns a permit for one slot of the target group.
+func (s *State) GrantQuick(partition model.PartitionID, epoch model.Epoch, now time.Duration) (model.Permit, error) {
+	return s.grant(partition, epoch, model.Resources{Slots: 1}, now)
+}
+
+// Finish records the end of a quick request.
+func (s *State) Finish(key string, request model.RequestID, outcome model.Outcome, body model.Answer, now time.Duration) {
+	s.answers.end(key, request, outcome, body, now)
+}
+
+// AddJob takes a job over from the journal. Repeated calls have no effect.
+func (s *State) AddJob(state *journal.JobState) {
+	if s.jobs[state.Job.ID] != nil {
+		return
+	}
+	j := newJob(state)
+	s.jobs[j.ID] = j
+	if j.IdempotencyKey != "" {
+		s.byKey[j.IdempotencyKey] = j.ID
+	}
+	if !j.open() {
+		return
+	}
+	s.waiting += j.counts[TaskWaiting]
+	s.ready.push(j)
+	s.endIfFinal(j)
+}
+
+// JobByKey returns the job that an idempotency key belongs to.
+func (s *State) JobByKey(key string) (model.JobID, bool) {
+	if key == "" {
+		return "", false
+	}
+	id, ok := s.byKey[key]
+	return id, ok
+}
+
+// JobView is a job as callers see it.
+type JobView struct {
+	Job                            model.Job
+	State, Detail                  string
+	Waiting, Running, Done, Failed int
+}
+
+// Job returns what is known of a job.
+func (s *State) Job(id model.JobID) (JobView, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return JobView{}, false
+	}
+	return JobView{
+		Job:     j.Job,
+		State:   j.describe(),
+		Detail:  j.detail,
+		Waiting: j.counts[TaskWaiting],
+		Running: j.active(),
+		Done:    j.counts[TaskDone],
+		Failed:  j.counts[TaskFailed] + j.counts[TaskUnknown],
+	}, true
+}
+
+// ForgetJob drops an ended job that the journal no longer keeps.
+func (s *State) ForgetJob(id model.JobID) {
+	j := s.jobs[id]
+	if j == nil || j.open() {
+		return
+	}
+	if s.byKey[j.IdempotencyKey] == id {
+		delete(s.byKey, j.IdempotencyKey)
+	}
+	delete(s.jobs, id)
+}
+
+func (s *State) grant(partition model.PartitionID, epoch model.Epoch, size model.Resources, now time.Duration) (model.Permit, error) {
+	p, err := s.ledger.Grant(partition, epoch, size, now)
+	if err != nil {
+		return model.Permit{}, err
+	}
+	p.Ratio = s.Ratio()
+	return p, nil
+}
