--- a/internal/app/journal/journal.go
+++ b/internal/app/journal/journal.go
@@ -45,7 +45,6 @@
 	mu        sync.Mutex
 	fold      *core.Fold
 	next      uint64 // offset of the next record to read
-	last      uint64 // offset of the last record in the fold
 	caughtUp  chan struct{}
 	ready     bool
 	listeners map[model.TeamID]map[int]Listener
--- /dev/null
+++ b/internal/app/teamowner/jobs.go
@@ -0,0 +1,212 @@
+package teamowner
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	core "github.com/balsamhitch/balsamhitch/internal/core/journal"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// journalTimeout is the class of errors for records not read back in time.
+var journalTimeout = errs.Class("journal timeout")
+
+// maxSaveDelay bounds the delay between failed appends of ended tasks.
+const maxSaveDelay = time.Second
+
+// submit accepts a job: it is on the log before the caller hears so. The job
+// takes effect when its record is read back, like on every other member.
+func (o *Owner) submit(ctx context.Context, message *peerpb.Job) *peerpb.SubmitJobReply {
+	job := convert.Job(message)
+	if reply := o.checkJob(job); reply != nil {
+		return reply
+	}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		return refuseJob(peerpb.Refusal_INVALID, "the job cannot be encoded")
+	}
+	event, err := o.appendAndRead(ctx, &logpb.JournalRecord{
+		Id: ulid.Make().String(),
+		Body: &logpb.JournalRecord_JobAccepted{JobAccepted: &logpb.JobAccepted{
+			Job:       data,
+			TeamEpoch: uint64(o.epoch),
+		}},
+	})
+	if port.NotStarted.Has(err) {
+		return refuseJob(peerpb.Refusal_UNAVAILABLE, "the log is down")
+	}
+	if err != nil {
+		return &peerpb.SubmitJobReply{
+			JobId:   string(job.ID),
+			Unknown: true,
+			Refusal: convert.Refuse(peerpb.Refusal_UNAVAILABLE, "the log did not confirm the job"),
+		}
+	}
+	return &peerpb.SubmitJobReply{JobId: string(event.Job.Job.ID)}
+}
+
+func refuseJob(reason peerpb.Refusal_Reason, detail string) *peerpb.SubmitJobReply {
+	return &peerpb.SubmitJobReply{Refusal: convert.Refuse(reason, detail)}
+}
+
+// checkJob answers a job that is known or can never run, and nil for others.
+func (o *Owner) checkJob(job model.Job) *peerpb.SubmitJobReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if id, ok := o.state.JobByKey(job.IdempotencyKey); ok {
+		return &peerpb.SubmitJobReply{JobId: string(id)}
+	}
+	template := o.state.Template()
+	if !template.Allows(job.Kind) {
+		return refuseJob(peerpb.Refusal_INVALID, fmt.Sprintf("the workspace template does not allow work of kind %q", job.Kind))
+	}
+	if o.state.Waiting()+job.Tasks > template.MaxQueued && template.MaxQueued > 0 {
+		return refuseJob(peerpb.Refusal_QUEUE_FULL, "the team's queue is full")
+	}
+	need := job.Size
+	if job.Kind == model.WorkGang {
+		need = need.Scale(int64(job.Tasks))
+	}
+	if !need.Fits(template.UpperLimit) {
+		return refuseJob(peerpb.Refusal_NEVER_FITS, "the job is larger than the team's upper limit")
+	}
+	if !o.view.canEverFit(job) {
+		return refuseJob(peerpb.Refusal_NEVER_FITS, "no worker in the allowed failure domains is large enough for a task")
+	}
+	return nil
+}
+
+// cancelJob records the cancellation and reports the job afterwards.
+func (o *Owner) cancelJob(ctx context.Context, call *peerpb.CancelJob) *peerpb.Response {
+	id := model.JobID(call.GetJobId())
+	o.mu.Lock()
+	view, ok := o.state.Job(id)
+	o.mu.Unlock()
+	if ok && (view.State == "waiting" || view.State == "running") {
+		_, err := o.appendAndRead(ctx, &logpb.JournalRecord{
+			Id: ulid.Make().String(),
+			Body: &logpb.JournalRecord_JobCancelled{JobCancelled: &logpb.JobCancelled{
+				JobId: string(id),
+				Team:  string(o.team),
+			}},
+		})
+		if err != nil {
+			refusal := convert.RefuseAfter(peerpb.Refusal_UNAVAILABLE, "the log did not confirm the cancellation", time.Second)
+			return &peerpb.Response{Body: &peerpb.Response_JobStatus{JobStatus: &peerpb.JobStatus{Refusal: refusal}}}
+		}
+	}
+	return o.getJob(&peerpb.GetJob{Team: call.GetTeam(), JobId: call.GetJobId()})
+}
+
+// appendAndRead puts a record on the log and waits until it is read back. An
+// append whose answer was lost is found that way. An error of type NotStarted
+// proves that the record is not on the log; after others it may be.
+func (o *Owner) appendAndRead(ctx context.Context, record *logpb.JournalRecord) (core.Event, error) {
+	events := make(chan core.Event, 1)
+	o.mu.Lock()
+	o.appended[record.GetId()] = events
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		delete(o.appended, record.GetId())
+		o.mu.Unlock()
+	}()
+	if err := o.journal.Append(ctx, record); port.NotStarted.Has(err) {
+		return core.Event{}, err
+	}
+	select {
+	case event := <-events:
+		return event, nil
+	case <-ctx.Done():
+		return core.Event{}, journalTimeout.Wrap(ctx.Err())
+	}
+}
+
+// stopTasks asks the racks to stop tasks of a cancelled job. The owner is
+// locked.
+func (o *Owner) stopTasks(permits []string) {
+	byPartition := map[model.PartitionID][]string{}
+	for _, id := range permits {
+		if entry, ok := o.state.Ledger().Lookup(id); ok {
+			partition := entry.Permit.Partition
+			byPartition[partition] = append(byPartition[partition], id)
+		}
+	}
+	for partition, ids := range byPartition {
+		o.sendStop(partition, ids)
+	}
+}
+
+func (o *Owner) sendStop(partition model.PartitionID, ids []string) {
+	address, _, ok := o.env.Owner(partition)
+	if !ok {
+		return
+	}
+	err := o.call(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		_, err := o.env.Peer().Call(ctx, address, &peerpb.Request{
+			Body: &peerpb.Request_StopTasks{StopTasks: &peerpb.StopTasks{
+				Partition: string(partition),
+				PermitIds: ids,
+			}},
+		})
+		if err != nil {
+			o.logger.WithError(err).WithField("partition", partition).Warn("Stop was not delivered.")
+		}
+	})
+	if err != nil {
+		o.logger.WithError(err).Warn("Stop was not sent.")
+	}
+}
+
+// flushLoop appends what the journal must still learn.
+func (o *Owner) flushLoop(ctx context.Context) {
+	delay := flushEvery
+	for {
+		timer := time.NewTimer(delay)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		case <-o.flush:
+			timer.Stop()
+		}
+		if o.save(ctx) {
+			delay = flushEvery
+			continue
+		}
+		delay = min(2*delay, maxSaveDelay)
+	}
+}
+
+// save appends the gathered records and returns whether that worked.
+func (o *Owner) save(ctx context.Context) bool {
+	o.mu.Lock()
+	o.unsaved = append(o.unsaved, o.state.TakeRecords()...)
+	records := o.unsaved
+	o.waitSave = append(o.waitSave, o.saved)
+	o.saved = make(chan struct{})
+	o.mu.Unlock()
+	if len(records) > 0 && o.journal.Append(ctx, records...) != nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.unsaved = nil
+	for _, waiting := range o.waitSave {
+		close(waiting)
+	}
+	o.waitSave = nil
+	return true
+}
--- /dev/null
+++ b/internal/app/teamowner/schedule.go
@@ -0,0 +1,224 @@
+package teamowner
+
+import (
+	"context"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/team"
+	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+const (
+	// maxCandidates bounds the jobs of one scheduling pass.
+	maxCandidates = 32
+	// maxOutstanding bounds the tasks whose offers are unanswered.
+	maxOutstanding = 512
+	// maxPerJob bounds the tasks of one job offered in one pass.
+	maxPerJob = 64
+)
+
+// offerSet gathers the offers of one pass by partition.
+type offerSet map[model.PartitionID][]team.TaskOffer
+
+// schedule offers waiting tasks to racks.
+func (o *Owner) schedule(ctx context.Context) {
+	if o.draining.Load() || !o.mayAct() || !o.env.ConfigFresh() {
+		return
+	}
+	offers, gangs := o.plan()
+	for _, gang := range gangs {
+		o.startGang(ctx, gang)
+	}
+	for partition, tasks := range offers {
+		o.startOffer(ctx, partition, tasks)
+	}
+}
+
+// plan grants permits for the tasks that come next.
+func (o *Owner) plan() (offerSet, []offerSet) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	offers := offerSet{}
+	var gangs []offerSet
+	if o.state.Waiting() == 0 {
+		return offers, nil
+	}
+	now := o.env.Clock().Now()
+	for _, candidate := range o.state.Candidates(maxCandidates, now, o.env.Clock().Wall()) {
+		if o.offered >= maxOutstanding {
+			break
+		}
+		if !o.view.canEverFit(candidate.Job) && candidate.Refusals >= neverFitsAfter {
+			o.state.Fail(candidate.Job.ID, "not run: no worker in the allowed failure domains is large enough for a task")
+			o.signal(o.flush)
+			continue
+		}
+		if candidate.Job.Kind == model.WorkGang {
+			if gang, ok := o.planGang(candidate); ok {
+				gangs = append(gangs, gang)
+			}
+			continue
+		}
+		o.planJob(candidate, offers)
+	}
+	return offers, gangs
+}
+
+// neverFitsAfter is the number of refusals after which a job that fits no
+// worker is given up.
+const neverFitsAfter = 8
+
+// planJob grants permits for as many tasks of a job as fit now.
+func (o *Owner) planJob(candidate team.Candidate, offers offerSet) {
+	now := o.env.Clock().Now()
+	job := candidate.Job
+	domainOut := o.env.Config().DomainOut
+	for range min(candidate.Waiting, maxPerJob) {
+		rack, ok := o.view.pickRack(job, domainOut)
+		if !ok {
+			o.state.Delay(job.ID, now)
+			return
+		}
+		offer, err := o.state.OfferTask(job.ID, rack.id, rack.epoch, now)
+		if err != nil {
+			return
+		}
+		rack.free = rack.free.Sub(job.Size)
+		offers[rack.id] = append(offers[rack.id], offer)
+		o.offered++
+	}
+}
+
+// startOffer sends the offers of one rack on the pool.
+func (o *Owner) startOffer(ctx context.Context, partition model.PartitionID, tasks []team.TaskOffer) {
+	address, _, ok := o.env.Owner(partition)
+	if !ok {
+		o.refuseAll(tasks)
+		return
+	}
+	if err := o.call(func() { o.sendOffer(ctx, partition, address, tasks) }); err != nil {
+		o.refuseAll(tasks)
+	}
+}
+
+// sendOffer offers tasks to one rack and takes over the results.
+func (o *Owner) sendOffer(ctx context.Context, partition model.PartitionID, address string, tasks []team.TaskOffer) {
+	if err := o.intendTasks(ctx, tasks); err != nil || !o.mayAct() {
+		o.refuseAll(tasks)
+		return
+	}
+	reply, err := o.offer(ctx, partition, address, tasks, false)
+	if port.NotStarted.Has(err) || reply.GetRefusal() != nil {
+		o.refuseAll(tasks)
+		return
+	}
+	if err != nil {
+		o.forgetOffers(len(tasks), partition)
+		return
+	}
+	o.takeResults(tasks, reply)
+}
+
+// intendTasks puts the intents of non-idempotent tasks on the log.
+func (o *Owner) intendTasks(ctx context.Context, tasks []team.TaskOffer) error {
+	var records []*logpb.JournalRecord
+	for _, task := range tasks {
+		if !task.Job.NonIdempotent {
+			continue
+		}
+		records = append(records, &logpb.JournalRecord{
+			Body: &logpb.JournalRecord_Intent{Intent: &logpb.Intent{
+				Team:      string(o.team),
+				TaskId:    string(task.Task),
+				UnixMs:    o.env.Clock().Wall().UnixMilli(),
+				TeamEpoch: uint64(o.epoch),
+			}},
+		})
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	return o.journal.Append(ctx, records...)
+}
+
+func (o *Owner) offer(ctx context.Context, partition model.PartitionID, address string, tasks []team.TaskOffer, gang bool) (*peerpb.OfferTasksReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	message := &peerpb.OfferTasks{Partition: string(partition), Gang: gang}
+	for _, task := range tasks {
+		message.Tasks = append(message.Tasks, offerMessage(task))
+	}
+	response, err := o.env.Peer().Call(ctx, address, &peerpb.Request{
+		Body: &peerpb.Request_OfferTasks{OfferTasks: message},
+	})
+	return response.GetOfferTasks(), err
+}
+
+func offerMessage(task team.TaskOffer) *peerpb.TaskOffer {
+	avoid := make([]string, 0, len(task.Avoid))
+	for _, vm := range task.Avoid {
+		avoid = append(avoid, string(vm))
+	}
+	return &peerpb.TaskOffer{
+		Permit:         convert.PermitPB(task.Permit),
+		TaskId:         string(task.Task),
+		Attempt:        int32(task.Attempt),
+		JobId:          string(task.Job.ID),
+		ExpectedRunMs:  task.Job.ExpectedRun.Milliseconds(),
+		FailureDomains: convert.DomainsPB(task.Job.FailureDomains),
+		Payload:        task.Job.Payload,
+		Urgent:         task.Job.Urgent,
+		Template:       task.Job.Template,
+		AvoidVms:       avoid,
+	}
+}
+
+// takeResults takes over the rack's answer to each offer.
+func (o *Owner) takeResults(tasks []team.TaskOffer, reply *peerpb.OfferTasksReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.offered -= len(tasks)
+	now := o.env.Clock().Now()
+	for i, task := range tasks {
+		if i >= len(reply.GetResults()) {
+			// A short answer says nothing of the rest; the next usage query
+			// will.
+			break
+		}
+		result := reply.GetResults()[i]
+		switch {
+		case result.GetRefusal() != nil:
+			o.state.Refused(task.Permit.ID, true, now)
+		case result.GetVm() != "" && !result.GetUnknown():
+			o.state.Started(task.Permit.ID)
+		}
+	}
+	if reply.GetSummary() != nil {
+		o.view.update(reply.GetSummary())
+	}
+	o.signal(o.wake)
+}
+
+// refuseAll takes back offers that were certainly not sent.
+func (o *Owner) refuseAll(tasks []team.TaskOffer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.offered -= len(tasks)
+	now := o.env.Clock().Now()
+	for _, task := range tasks {
+		o.state.Refused(task.Permit.ID, true, now)
+	}
+}
+
+// forgetOffers counts offers with a lost answer as answered. Their permits
+// stay used until the partition's next usage report settles them.
+func (o *Owner) forgetOffers(count int, partition model.PartitionID) {
+	bounds := partitionBounds(o.env.VMs())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.offered -= count
+	o.state.Ledger().Unsettle(partition, bounds[partition])
+}
--- /dev/null
+++ b/internal/app/teamowner/serve.go
@@ -0,0 +1,131 @@
+package teamowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/host"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/team"
+	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// retryAfterTakeover is when a caller that met a starting or leaving owner
+// should try again.
+const retryAfterTakeover = 50 * time.Millisecond
+
+// Serve answers the calls for the team.
+func (o *Owner) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+	o.inFlight.Add(1)
+	defer o.inFlight.Done()
+	select {
+	case <-o.ready:
+	case <-ctx.Done():
+		return host.Refusal(request, convert.Refuse(peerpb.Refusal_UNAVAILABLE, "the team's owner is starting"))
+	}
+	switch body := request.GetBody().(type) {
+	case *peerpb.Request_ReleasePermits:
+		return o.release(ctx, body.ReleasePermits)
+	case *peerpb.Request_FinishQuick:
+		return o.finish(body.FinishQuick)
+	case *peerpb.Request_GetJob:
+		return o.getJob(body.GetJob)
+	}
+	if o.draining.Load() || !o.mayAct() {
+		return host.Refusal(request, convert.RefuseAfter(peerpb.Refusal_NOT_OWNER, "the team changes its owner", retryAfterTakeover))
+	}
+	switch body := request.GetBody().(type) {
+	case *peerpb.Request_AdmitQuick:
+		return &peerpb.Response{Body: &peerpb.Response_AdmitQuick{AdmitQuick: o.admit(ctx, body.AdmitQuick)}}
+	case *peerpb.Request_SubmitJob:
+		return &peerpb.Response{Body: &peerpb.Response_SubmitJob{SubmitJob: o.submit(ctx, body.SubmitJob.GetJob())}}
+	case *peerpb.Request_CancelJob:
+		return o.cancelJob(ctx, body.CancelJob)
+	default:
+		return host.Refusal(request, convert.Refuse(peerpb.Refusal_INVALID, "not a call for a team"))
+	}
+}
+
+// finish records the end of a quick request.
+func (o *Owner) finish(call *peerpb.FinishQuick) *peerpb.Response {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.Finish(
+		call.GetIdempotencyKey(),
+		model.RequestID(call.GetRequestId()),
+		model.Outcome(call.GetOutcome()),
+		convert.Answer(call.GetAnswer()),
+		o.env.Clock().Now(),
+	)
+	return host.Ack(nil)
+}
+
+// release takes back permits. It acknowledges ends of tasks only once they are
+// on the log, so that the rack keeps them until then.
+func (o *Owner) release(ctx context.Context, call *peerpb.ReleasePermits) *peerpb.Response {
+	saved := o.applyRelease(call)
+	o.signal(o.wake)
+	if len(call.GetTasks()) == 0 {
+		return host.Ack(nil)
+	}
+	o.signal(o.flush)
+	select {
+	case <-saved:
+		return host.Ack(nil)
+	case <-ctx.Done():
+		return host.Ack(convert.Refuse(peerpb.Refusal_UNAVAILABLE, "the journal has not been written"))
+	}
+}
+
+func (o *Owner) applyRelease(call *peerpb.ReleasePermits) <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, id := range call.GetQuick() {
+		o.state.Ledger().Release(id)
+	}
+	for _, end := range call.GetTasks() {
+		o.state.Ended(taskEnd(end))
+	}
+	o.waiters.wake(len(call.GetQuick()))
+	return o.saved
+}
+
+func taskEnd(end *peerpb.TaskEnd) team.End {
+	state := port.TaskState(end.GetState())
+	return team.End{
+		Permit:  end.GetPermitId(),
+		Task:    model.TaskID(end.GetTaskId()),
+		Attempt: int(end.GetAttempt()),
+		VM:      model.VMID(end.GetVm()),
+		Done:    state == port.TaskDone,
+		Lost:    state == port.TaskCheckpointed || state == port.TaskExpired,
+		Detail:  end.GetDetail(),
+	}
+}
+
+// getJob reports a job.
+func (o *Owner) getJob(call *peerpb.GetJob) *peerpb.Response {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.describe(model.JobID(call.GetJobId()))
+}
+
+// describe returns the report of a job. The owner is locked.
+func (o *Owner) describe(id model.JobID) *peerpb.Response {
+	view, ok := o.state.Job(id)
+	status := &peerpb.JobStatus{}
+	if ok {
+		status.Job = convert.JobPB(view.Job)
+		status.State = view.State
+		status.Detail = view.Detail
+		status.Waiting = int32(view.Waiting)
+		status.Running = int32(view.Running)
+		status.Done = int32(view.Done)
+		status.Failed = int32(view.Failed)
+	} else {
+		status.Refusal = convert.Refuse(peerpb.Refusal_NOT_FOUND, "no such job, or it ended long ago")
+	}
+	return &peerpb.Response{Body: &peerpb.Response_JobStatus{JobStatus: status}}
+}
--- /dev/null
+++ b/internal/app/teamowner/settle.go
@@ -0,0 +1,133 @@
+package teamowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/permit"
+	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+)
+
+// unusedAfter is how long a quick request's permit may go without a sign of
+// use before its partition is asked about it.
+const unusedAfter = 5 * time.Second
+
+// refresh takes over the newest template, view of capacity and holders, and
+// asks the partitions whose use is not certain.
+func (o *Owner) refresh(ctx context.Context) {
+	bounds := partitionBounds(o.env.VMs())
+	racks := o.env.Summaries(model.KindRack)
+	targets := o.env.Summaries(model.KindTargets)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if template, ok := o.env.Config().Template(o.team); ok {
+		o.state.SetTemplate(template)
+	}
+	ledger := o.state.Ledger()
+	for id, bound := range bounds {
+		ledger.Expect(id, bound)
+		o.noticeHolder(id, bound)
+	}
+	o.view = newView(racks, targets, ledger.Epoch)
+	o.state.SetTotal(o.view.total)
+	now := o.env.Clock().Now()
+	for _, id := range ledger.Unsettled() {
+		o.query(ctx, id, 0)
+	}
+	floor := ledger.OldestUnbound(now - unusedAfter)
+	for _, id := range ledger.PartitionsWithOlder(now - unusedAfter) {
+		o.query(ctx, id, floor)
+	}
+}
+
+// noticeHolder unsettles a partition that another member holds by now.
+func (o *Owner) noticeHolder(id model.PartitionID, bound model.Resources) {
+	ledger := o.state.Ledger()
+	settled, ok := ledger.Epoch(id)
+	if !ok {
+		return
+	}
+	_, epoch, ok := o.env.Owner(id)
+	if ok && epoch != settled {
+		ledger.Unsettle(id, bound)
+	}
+}
+
+// partitionBounds returns the capacity of each rack and target group.
+func partitionBounds(vms []model.VM) map[model.PartitionID]model.Resources {
+	bounds := map[model.PartitionID]model.Resources{}
+	for _, vm := range vms {
+		if id := vm.Partition(); id != "" {
+			bounds[id] = bounds[id].Add(vm.Capacity)
+		}
+	}
+	return bounds
+}
+
+// query asks a partition's holder for what it holds for the team. The owner is
+// locked; one query a partition runs at a time.
+func (o *Owner) query(ctx context.Context, id model.PartitionID, floor uint64) {
+	address, epoch, ok := o.env.Owner(id)
+	if !ok || o.querying[id] || !o.mayAct() {
+		return
+	}
+	o.querying[id] = true
+	err := o.call(func() {
+		reply := o.askUsage(ctx, id, address, floor)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.querying, id)
+		if reply != nil && model.Epoch(reply.GetPartitionEpoch()) == epoch {
+			o.settle(id, epoch, floor, reply)
+		}
+	})
+	if err != nil {
+		delete(o.querying, id)
+	}
+}
+
+func (o *Owner) askUsage(ctx context.Context, id model.PartitionID, address string, floor uint64) *peerpb.UsageReply {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := o.env.Peer().Call(ctx, address, &peerpb.Request{
+		Body: &peerpb.Request_UsageQuery{UsageQuery: &peerpb.UsageQuery{
+			Team:        string(o.team),
+			Partition:   string(id),
+			TeamEpoch:   uint64(o.epoch),
+			MinSequence: floor,
+		}},
+	})
+	usage := response.GetUsage()
+	if err != nil || usage == nil || usage.GetRefusal() != nil {
+		return nil
+	}
+	return usage
+}
+
+// settle takes over a partition's answer. The owner is locked.
+func (o *Owner) settle(id model.PartitionID, epoch model.Epoch, floor uint64, reply *peerpb.UsageReply) {
+	if !reply.GetCertain() && reply.GetUncertain() == nil {
+		return
+	}
+	held := make([]permit.Entry, 0, len(reply.GetHeld()))
+	for _, h := range reply.GetHeld() {
+		held = append(held, permit.Entry{
+			Permit:  convert.Permit(h.GetPermit()),
+			Task:    model.TaskID(h.GetTaskId()),
+			Job:     model.JobID(h.GetJobId()),
+			Attempt: int(h.GetAttempt()),
+		})
+	}
+	uncertain := convert.Resources(reply.GetUncertain())
+	ended := o.state.Ledger().Settle(id, epoch, floor, held, uncertain)
+	for _, entry := range held {
+		if entry.Task != "" {
+			o.state.Adopt(entry.Task, entry.Attempt, entry.Permit.ID)
+		}
+	}
+	o.state.Vanished(ended)
+	o.waiters.wake(len(ended) + 1)
+	o.signal(o.wake)
+}
--- a/internal/core/permit/ledger.go
+++ b/internal/core/permit/ledger.go
@@ -31,11 +31,11 @@
 // partitionState is what the ledger knows of a partition.
 type partitionState struct {
 	epoch   model.Epoch
-	certain bool
-	// bound is the most that the partition could hold for the team while it
-	// is not certain.
-	bound model.Resources
-	used  model.Resources // by permits known to be bound to the partition
+	settled bool
+	// hidden is the most that the partition could hold for the team besides
+	// its known permits.
+	hidden model.Resources
+	used   model.Resources // by permits known to be bound to the partition
 }
 
 // Ledger counts what one team uses across the fleet. It is not safe for
@@ -79,30 +79,26 @@
 	if _, ok := l.partitions[id]; ok {
 		return
 	}
-	l.partitions[id] = &partitionState{bound: bound}
+	l.partitions[id] = &partitionState{hidden: bound}
 }
 
 // Unsettled returns the partitions whose use is not certain.
 func (l *Ledger) Unsettled() []model.PartitionID {
 	var ids []model.PartitionID
 	for id, state := range l.partitions {
-		if !state.certain {
+		if !state.settled || !state.hidden.IsZero() {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
-// Used returns what counts as used: all entries, and for each uncertain
-// partition the rest of what it could hold.
+// Used returns what counts as used: all entries, and what each partition could
+// hold besides.
 func (l *Ledger) Used() model.Resources {
 	total := l.used
 	for _, state := range l.partitions {
-		if state.certain {
-			continue
-		}
-		hidden := state.bound.Sub(state.used)
-		total = total.Add(hidden.Max(model.Resources{}))
+		total = total.Add(state.hidden)
 	}
 	return total
 }
@@ -116,7 +112,7 @@
 // The partition must be settled for the epoch.
 func (l *Ledger) Grant(id model.PartitionID, epoch model.Epoch, size model.Resources, now time.Duration) (model.Permit, error) {
 	state := l.partitions[id]
-	if state == nil || !state.certain || state.epoch != epoch {
+	if state == nil || !state.settled || state.epoch != epoch {
 		return model.Permit{}, OverLimit.New("partition %s is not settled for epoch %d", id, epoch)
 	}
 	if !l.Used().Add(size).Fits(l.limit) {
@@ -177,50 +173,69 @@
 		l.Expect(id, bound)
 		return
 	}
-	state.certain = false
-	state.bound = bound
+	state.settled = false
+	state.hidden = bound.Sub(state.used).Max(model.Resources{})
 }
 
 // Epoch returns the epoch for which the partition is settled.
 func (l *Ledger) Epoch(id model.PartitionID) (model.Epoch, bool) {
 	state := l.partitions[id]
-	if state == nil || !state.certain {
+	if state == nil || !state.settled {
 		return 0, false
 	}
 	return state.epoch, true
 }
 
-// Settle takes over a partition's complete list of what it holds for the team.
-// Permits in it that the ledger does not know are adopted. Those bound to an
-// earlier epoch of the partition that are missing from it have certainly
-// ended; Settle releases and returns them. So have permits of the same epoch
-// with a sequence below minSequence, the floor that the query raised.
-func (l *Ledger) Settle(id model.PartitionID, epoch model.Epoch, minSequence uint64, held []Entry) []Entry {
+// Settle takes over what a partition holds for the team. Permits that the
+// ledger does not know are adopted. Uncertain is the most that VMs which the
+// partition has not heard from could hold besides.
+//
+// Only when that is zero is the list complete: then permits missing from it
+// that are bound to an earlier epoch of the partition, or whose sequence is
+// below minSequence, the floor that the query raised, have certainly ended.
+// Settle releases and returns them.
+func (l *Ledger) Settle(id model.PartitionID, epoch model.Epoch, minSequence uint64, held []Entry, uncertain model.Resources) []Entry {
 	state := l.partitions[id]
 	if state == nil {
 		state = &partitionState{}
 		l.partitions[id] = state
 	}
 	state.epoch = epoch
-	state.certain = true
+	state.settled = true
 	listed := make(map[string]bool, len(held))
 	for _, entry := range held {
 		listed[entry.Permit.ID] = true
 		l.adopt(entry)
 	}
-	var ended []Entry
+	missing := l.missing(id, listed, epoch, minSequence)
+	if uncertain.IsZero() {
+		state.hidden = model.Resources{}
+		for _, entry := range missing {
+			l.Release(entry.Permit.ID)
+		}
+		return missing
+	}
+	var counted model.Resources
+	for _, entry := range missing {
+		counted = counted.Add(entry.Permit.Size)
+	}
+	state.hidden = uncertain.Sub(counted).Max(model.Resources{})
+	return nil
+}
+
+// missing returns the permits of a partition that it does not list and that
+// can never be used any more unless they already are.
+func (l *Ledger) missing(id model.PartitionID, listed map[string]bool, epoch model.Epoch, minSequence uint64) []Entry {
+	var entries []Entry
 	for permitID, entry := range l.entries {
 		if entry.Permit.Partition != id || listed[permitID] {
 			continue
 		}
 		if l.expired(entry.Permit, epoch, minSequence) {
-			ended = append(ended, entry)
+			entries = append(entries, entry)
 		}
 	}
-	for _, entry := range ended {
-		l.Release(entry.Permit.ID)
-	}
-	return ended
+	return entries
 }
 
 // expired reports whether a permit that its partition does not list can never
