Run a rack's partition: placement, starts, leases and reported ends

Cause: one process a rack must be the only one that sends starts. Ruled out: leases on the owner's clock; a delayed renewal would extend them.

--- /dev/null
+++ b/internal/app/rackowner/serve.go
@@ -0,0 +1,166 @@
+package rackowner
+
+import (
+	"context"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/host"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/rack"
+	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// Serve answers the calls for the rack.
+func (o *Owner) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+	if body, ok := request.GetBody().(*peerpb.Request_UsageQuery); ok {
+		return &peerpb.Response{Body: &peerpb.Response_Usage{Usage: o.usage(body.UsageQuery)}}
+	}
+	if o.draining.Load() || !o.mayAct() {
+		return host.Refusal(request, convert.Refuse(peerpb.Refusal_NOT_OWNER, "the rack changes its owner"))
+	}
+	switch body := request.GetBody().(type) {
+	case *peerpb.Request_OfferTasks:
+		return offerResponse(o.offer(ctx, body.OfferTasks))
+	case *peerpb.Request_EndGang:
+		return o.endGang(ctx, body.EndGang)
+	case *peerpb.Request_StopTasks:
+		o.stopTasks(ctx, body.StopTasks)
+		return host.Ack(nil)
+	default:
+		return host.Refusal(request, convert.Refuse(peerpb.Refusal_INVALID, "not a call for a rack"))
+	}
+}
+
+func offerResponse(reply *peerpb.OfferTasksReply) *peerpb.Response {
+	return &peerpb.Response{Body: &peerpb.Response_OfferTasks{OfferTasks: reply}}
+}
+
+// offer places tasks and answers once each has been started or refused.
+func (o *Owner) offer(ctx context.Context, call *peerpb.OfferTasks) *peerpb.OfferTasksReply {
+	if call.GetGang() {
+		return o.reserveGang(call)
+	}
+	o.mu.Lock()
+	waiting := make([]*pendingOffer, 0, len(call.GetTasks()))
+	for _, message := range call.GetTasks() {
+		waiting = append(waiting, o.enqueue(message))
+	}
+	o.mu.Unlock()
+	o.signal()
+	return o.collect(ctx, waiting)
+}
+
+// collect waits for the results of offers. Offers without one when the context
+// ends are reported as unknown, because they may still be started.
+func (o *Owner) collect(ctx context.Context, waiting []*pendingOffer) *peerpb.OfferTasksReply {
+	reply := &peerpb.OfferTasksReply{}
+	for _, p := range waiting {
+		select {
+		case result := <-p.result:
+			reply.Results = append(reply.Results, result)
+		case <-ctx.Done():
+			reply.Results = append(reply.Results, &peerpb.OfferResult{
+				TaskId:  p.message.GetTaskId(),
+				Unknown: true,
+			})
+		}
+	}
+	reply.Summary = o.Summary()
+	return reply
+}
+
+// reserveGang reserves room for all tasks or for none.
+func (o *Owner) reserveGang(call *peerpb.OfferTasks) *peerpb.OfferTasksReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	reply := &peerpb.OfferTasksReply{}
+	offers := make([]rack.Offer, 0, len(call.GetTasks()))
+	for _, message := range call.GetTasks() {
+		offer := offerOf(message)
+		if refusal := o.refusePermit(offer.Permit); refusal != nil {
+			reply.Refusal = refusal
+			return reply
+		}
+		offers = append(offers, offer)
+	}
+	now := o.env.Clock().Now()
+	decisions, _ := o.rack.ReserveGang(offers, now, now+gangExpiry)
+	for i, decision := range decisions {
+		result := &peerpb.OfferResult{TaskId: call.GetTasks()[i].GetTaskId(), Vm: string(decision.VM)}
+		if decision.Reserved {
+			o.payload[decision.Offer.Permit.ID] = call.GetTasks()[i]
+		} else {
+			result.Refusal = refusalOf(decision)
+		}
+		reply.Results = append(reply.Results, result)
+	}
+	reply.Summary = o.summary()
+	return reply
+}
+
+// endGang starts or frees what reserveGang reserved.
+func (o *Owner) endGang(ctx context.Context, call *peerpb.EndGang) *peerpb.Response {
+	o.mu.Lock()
+	if !call.GetCommit() {
+		o.rack.ReleaseGang(call.GetPermitIds())
+		o.dropPayloads(call.GetPermitIds())
+		o.mu.Unlock()
+		return host.Ack(nil)
+	}
+	now := o.env.Clock().Now()
+	if !o.rack.CommitGang(call.GetPermitIds(), now) {
+		o.dropPayloads(call.GetPermitIds())
+		o.mu.Unlock()
+		refusal := convert.Refuse(peerpb.Refusal_NO_CAPACITY, "the gang's reservation expired")
+		return offerResponse(&peerpb.OfferTasksReply{Refusal: refusal})
+	}
+	waiting := make([]*pendingOffer, 0, len(call.GetPermitIds()))
+	sends := make([]sending, 0, len(call.GetPermitIds()))
+	for _, id := range call.GetPermitIds() {
+		held, _ := o.rack.Lookup(id)
+		message := o.payload[id]
+		p := &pendingOffer{offer: offerOf(message), message: message, result: make(chan *peerpb.OfferResult, 1)}
+		waiting = append(waiting, p)
+		sends = append(sends, o.prepare(p, held.VM, now))
+	}
+	o.dropPayloads(call.GetPermitIds())
+	o.mu.Unlock()
+	for _, s := range sends {
+		if err := o.pool.Submit(func() { o.send(ctx, s) }); err != nil {
+			o.notStarted(s, err)
+		}
+	}
+	return offerResponse(o.collect(ctx, waiting))
+}
+
+func (o *Owner) dropPayloads(permits []string) {
+	for _, id := range permits {
+		delete(o.payload, id)
+	}
+}
+
+// stopTasks asks workers to stop tasks; their reports tell the ends.
+func (o *Owner) stopTasks(ctx context.Context, call *peerpb.StopTasks) {
+	for _, id := range call.GetPermitIds() {
+		o.mu.Lock()
+		held, ok := o.rack.Lookup(id)
+		state := o.vms[held.VM]
+		if ok && state != nil {
+			state.nextAt = o.env.Clock().Now()
+		}
+		o.mu.Unlock()
+		if !ok || state == nil {
+			continue
+		}
+		attempt := port.TaskAttempt{Task: held.Task, Attempt: held.Attempt}
+		o.act(ctx, state.vm.Address, []rack.Action{{VM: held.VM, Task: attempt, Action: port.ActionStop}})
+	}
+}
+
+// Held returns what the rack holds for a team, for tests.
+func (o *Owner) Held(team model.TeamID) []rack.Reservation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.rack.Held(team)
+}
--- a/internal/core/permit/ledger.go
+++ b/internal/core/permit/ledger.go
@@ -5,7 +5,6 @@
 package permit
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -120,7 +119,7 @@
 	}
 	l.sequence++
 	p := model.Permit{
-		ID:             fmt.Sprintf("%s.%d.%d", l.team, l.epoch, l.sequence),
+		ID:             newID(l.team, l.epoch, l.sequence),
 		Team:           l.team,
 		TeamEpoch:      l.epoch,
 		Partition:      id,
