Add platform adapters, stand-ins and the history checker

The programs need a platform to run against, and tests need one place that judges what happened. The adapters speak HTTP and JSON to small stand-ins of the log service, the VM list, workers and runners; balsam-standin runs them one by one or as a whole cell. The checker in internal/history names each broken promise with the events that show it.

The adapters use net/http instead of hertz's client: a hertz call does not end with its context, and has no hook that proves that nothing was written, which "not run" rests on. The stand-ins' servers are hertz with the standard transport, since that takes a listener on a free port.

--- /dev/null
+++ b/cmd/balsam-standin/main.go
@@ -0,0 +1,150 @@
+// Command balsam-standin runs small stand-ins of the platform's services for
+// tests and demonstrations.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/zeebo/errs"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/history"
+	"github.com/balsamhitch/balsamhitch/internal/standin/cell"
+	"github.com/balsamhitch/balsamhitch/internal/standin/fault"
+	"github.com/balsamhitch/balsamhitch/internal/standin/logsvc"
+	"github.com/balsamhitch/balsamhitch/internal/standin/vmlist"
+)
+
+var errCommand = errs.Class("balsam-standin")
+
+type logCommand struct {
+	Listen    string  `default:"127.0.0.1:7400" help:"Address to listen on; port 0 picks a free one."`
+	Retention int     `default:"100000" help:"Records kept per stream."`
+	Rate      float64 `default:"400" help:"Append calls a second."`
+}
+
+type vmsCommand struct {
+	Listen string        `default:"127.0.0.1:7401" help:"Address to listen on; port 0 picks a free one."`
+	File   string        `required:"" type:"existingfile" help:"JSON file with the list of VMs."`
+	Lag    time.Duration `default:"500ms" help:"Time until a change shows."`
+}
+
+type workersCommand struct {
+	Count int    `default:"3" help:"Number of workers."`
+	Host  string `default:"127.0.0.1" help:"Address to listen on."`
+}
+
+type runnersCommand struct {
+	Count   int             `default:"3" help:"Number of runners."`
+	Service model.ServiceID `default:"quotes" help:"Service that they serve."`
+	Host    string          `default:"127.0.0.1" help:"Address to listen on."`
+}
+
+type cellCommand struct {
+	Config string `type:"existingfile" help:"TOML file; without it, the Guild's cell at a small size."`
+}
+
+type commands struct {
+	Log     logCommand     `cmd:"" help:"Run a log service."`
+	VMs     vmsCommand     `cmd:"" name:"vms" help:"Run a VM list."`
+	Workers workersCommand `cmd:"" help:"Run workers and print them as a list of VMs."`
+	Runners runnersCommand `cmd:"" help:"Run runners and print them as a list of VMs."`
+	Cell    cellCommand    `cmd:"" help:"Run a whole cell's platform in one process."`
+}
+
+func main() {
+	var cli commands
+	ctx := kong.Parse(&cli, kong.Name("balsam-standin"),
+		kong.Description("Stand-ins of the platform. Each prints one line of JSON when it is ready, and runs until SIGTERM."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+// Run implements the log command.
+func (c *logCommand) Run() error {
+	store := logsvc.NewStore(logsvc.Options{Retention: c.Retention, AppendRate: c.Rate})
+	server, err := logsvc.Serve(c.Listen, store, fault.NewInjector())
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	return ready(cell.URLs{Log: "http://" + server.Address()})
+}
+
+// Run implements the vms command.
+func (c *vmsCommand) Run() error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return errCommand.Wrap(err)
+	}
+	var vms []model.VM
+	if err := json.Unmarshal(data, &vms); err != nil {
+		return errCommand.New("%s: %w", c.File, err)
+	}
+	server, err := vmlist.New(vms, c.Lag, &history.Recorder{}, nil).Serve(c.Listen, fault.NewInjector())
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	return ready(cell.URLs{VMs: "http://" + server.Address()})
+}
+
+// Run implements the workers command.
+func (c *workersCommand) Run() error {
+	config := cell.DefaultConfig()
+	config.Host = c.Host
+	config.Workers = c.Count
+	config.Services = nil
+	return runCell(config, true)
+}
+
+// Run implements the runners command.
+func (c *runnersCommand) Run() error {
+	config := cell.DefaultConfig()
+	config.Host = c.Host
+	config.Workers = 0
+	config.Services = []cell.Service{{Name: c.Service, Runners: c.Count}}
+	return runCell(config, true)
+}
+
+// Run implements the cell command.
+func (c *cellCommand) Run() error {
+	config := cell.DefaultConfig()
+	if c.Config != "" {
+		var err error
+		if config, err = cell.ReadConfig(c.Config); err != nil {
+			return err
+		}
+	}
+	return runCell(config, false)
+}
+
+func runCell(config cell.Config, listVMs bool) error {
+	running, err := cell.Start(config)
+	if err != nil {
+		return err
+	}
+	defer running.Close()
+	if listVMs {
+		return ready(running.List.VMs())
+	}
+	return ready(running.URLs)
+}
+
+// ready prints the value and waits for a signal to stop.
+func ready(value any) error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	line, err := json.Marshal(value)
+	if err != nil {
+		return errCommand.Wrap(err)
+	}
+	fmt.Println(string(line))
+	<-stop
+	return nil
+}
--- /dev/null
+++ b/internal/adapter/vmclient/vmclient.go
@@ -0,0 +1,33 @@
+// Package vmclient reads the platform's VM list.
+package vmclient
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/httpcall"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/platformapi"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// Client is a port.VMList. It is safe for concurrent use.
+type Client struct {
+	base string
+	call *httpcall.Caller
+}
+
+var _ port.VMList = (*Client)(nil)
+
+// New returns a client of the VM list at the URL.
+func New(baseURL string) *Client {
+	return &Client{base: strings.TrimRight(baseURL, "/"), call: httpcall.New(0)}
+}
+
+// List implements port.VMList.
+func (c *Client) List(ctx context.Context) ([]model.VM, error) {
+	var reply platformapi.VMsReply
+	err := c.call.JSON(ctx, http.MethodGet, c.base+platformapi.PathVMs, nil, &reply)
+	return reply.VMs, err
+}
--- /dev/null
+++ b/internal/history/checker_test.go
@@ -0,0 +1,180 @@
+package history
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+var (
+	base     = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	one      = model.Resources{MilliCPU: 1000, MemoryMiB: 1024}
+	capacity = model.Resources{MilliCPU: 2000, MemoryMiB: 4096}
+
+	sent       = Event{Kind: Sent, Call: "a", Team: "quotes", Key: "k", Quick: true}
+	quickStart = Event{Kind: QuickStart, VM: "r1", Domain: "marrakech", Team: "quotes", Request: "id-a", Attempt: 1, Call: "a"}
+)
+
+func at(seconds float64, e Event) Event {
+	e.At = base.Add(time.Duration(seconds * float64(time.Second)))
+	return e
+}
+
+func start(vm, task string, attempt int) Event {
+	return Event{Kind: TaskStart, VM: model.VMID(vm), Domain: "marrakech", Team: "layouts",
+		Task: model.TaskID(task), Attempt: attempt, Size: one}
+}
+
+func end(vm, task string, attempt int, state string) Event {
+	e := start(vm, task, attempt)
+	e.Kind, e.State = TaskEnd, state
+	return e
+}
+
+func answered(outcome model.Outcome) Event {
+	return Event{Kind: Answered, Call: "a", Outcome: outcome, Whole: true, BodyCall: "a"}
+}
+
+func promises(found []Violation) []Promise {
+	var out []Promise
+	for _, v := range found {
+		out = append(out, v.Promise)
+	}
+	return out
+}
+
+// Each case breaks exactly one promise.
+func TestCheckerNamesBrokenPromise(t *testing.T) {
+	issued := at(0, Event{Kind: KeyIssued, Key: "k", Team: "quotes"})
+	once := sent
+	once.NonIdempotent = true
+	again := at(3, quickStart)
+	again.Attempt = 2
+	foreign := at(2, answered(model.OutcomeDone))
+	foreign.BodyCall = "b"
+	torn := at(2, answered(model.OutcomeDone))
+	torn.Whole = false
+	job := Event{Kind: Sent, Call: "j", Team: "quotes", Key: "k", Tasks: 1}
+	jobAnswer := Event{Kind: Answered, Call: "j"}
+	cases := []struct {
+		name    string
+		promise Promise
+		events  []Event
+	}{
+		{"overcommit", NoOvercommit, []Event{
+			at(0, Event{Kind: VMSeen, VM: "w1", Size: capacity}),
+			at(1, start("w1", "j/0", 1)), at(2, start("w1", "j/1", 1)), at(3, start("w1", "j/2", 1)),
+		}},
+		{"two places", OnePlace, []Event{at(1, start("w1", "j/0", 1)), at(2, start("w2", "j/0", 2))}},
+		{"upper limit", UpperLimit, []Event{
+			at(0, Event{Kind: LimitSet, Team: "layouts", Size: one}),
+			at(9, start("w1", "j/0", 1)), at(9, start("w2", "j/1", 1)),
+		}},
+		{"domain out", DomainStaysOut, []Event{at(0, Event{Kind: DomainOut, Domain: "marrakech"}), at(5, start("w1", "j/0", 1))}},
+		{"leaving", LeavingGetsNone, []Event{at(0, Event{Kind: VMLeaving, VM: "w1"}), at(5, start("w1", "j/0", 1))}},
+		{"withdrawn key", KeysOnly, []Event{
+			issued, at(1, Event{Kind: KeyWithdrawn, Key: "k"}), at(6, sent),
+			at(7, answered(model.OutcomeDone)),
+		}},
+		{"key never issued", KeysOnly, []Event{at(1, sent), at(2, answered(model.OutcomeDone))}},
+		{"key of another team", KeysOnly, []Event{
+			at(0, Event{Kind: KeyIssued, Key: "k", Team: "fittings"}), at(1, sent), at(2, answered(model.OutcomeDone)),
+		}},
+		{"not run although it ran", NotRunIsTrue, []Event{
+			issued, at(1, sent), at(2, answered(model.OutcomeNotRun)), at(3, quickStart),
+		}},
+		{"non-idempotent twice", AtMostOnce, []Event{
+			issued, at(1, once), at(2, quickStart), again, at(4, answered(model.OutcomeDone)),
+		}},
+		{"no answer", WholeAnswer, []Event{issued, at(1, sent)}},
+		{"two answers", WholeAnswer, []Event{
+			issued, at(1, sent), at(2, answered(model.OutcomeDone)), at(3, answered(model.OutcomeDone)),
+		}},
+		{"foreign body", WholeAnswer, []Event{issued, at(1, sent), foreign}},
+		{"torn body", WholeAnswer, []Event{issued, at(1, sent), torn}},
+		{"job without an end", NothingLost, []Event{issued, at(1, job), at(2, jobAnswer), at(2, Event{Kind: Accepted, Call: "j"})}},
+		{"job done without its tasks", NothingLost, []Event{
+			issued, at(1, job), at(2, jobAnswer), at(2, Event{Kind: Accepted, Call: "j"}),
+			at(3, Event{Kind: JobEnded, Call: "j", State: "done"}),
+		}},
+		{"revision reverts", ConfigNoRevert, []Event{
+			at(1, Event{Kind: ConfigSeen, Member: "m", Revision: 7}), at(2, Event{Kind: ConfigSeen, Member: "m", Revision: 6}),
+		}},
+		{"revision not in force", ConfigInForce, []Event{
+			at(1, Event{Kind: ConfigAccepted, Revision: 7}), at(6, Event{Kind: ConfigSeen, Member: "m", Revision: 6}),
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			found := Check(c.events, Options{})
+			require.Equal(t, []Promise{c.promise}, promises(found), "%v", found)
+			assert.NotEmpty(t, found[0].Events)
+			assert.Contains(t, found[0].String(), string(c.promise))
+		})
+	}
+}
+
+// Each case comes close to a violation and is none.
+func TestCheckerAcceptsWhatIsAllowed(t *testing.T) {
+	issued := at(0, Event{Kind: KeyIssued, Key: "k", Team: "quotes"})
+	resend := at(3, sent)
+	resend.Send = 1
+	reply := at(5, answered(model.OutcomeDone))
+	reply.Send = 1
+	cases := map[string][]Event{
+		"retry after the end": {at(1, start("w1", "j/0", 1)), at(2, end("w1", "j/0", 1, "failed")), at(2, start("w2", "j/0", 2))},
+		"full VM": {
+			at(0, Event{Kind: VMSeen, VM: "w1", Size: capacity}),
+			at(1, start("w1", "j/0", 1)), at(1, start("w1", "j/1", 1)),
+			at(2, end("w1", "j/0", 1, "done")), at(2, start("w1", "j/2", 1)),
+		},
+		"domain back": {
+			at(0, Event{Kind: DomainOut, Domain: "marrakech"}), at(3, start("w1", "j/0", 1)),
+			at(4, Event{Kind: DomainIn, Domain: "marrakech"}), at(9, start("w1", "j/1", 1)),
+		},
+		"lowered limit within the grace": {
+			at(0, Event{Kind: LimitSet, Team: "layouts", Size: capacity}), at(5, start("w1", "j/0", 1)),
+			at(6, Event{Kind: LimitSet, Team: "layouts", Size: one}), at(7, start("w2", "j/1", 1)),
+		},
+		"sent again after not run": {
+			issued, at(1, sent), at(2, answered(model.OutcomeNotRun)),
+			resend, at(4, quickStart), reply,
+		},
+		"open queue": {
+			at(0, Event{Kind: QueueOpen, Team: "quotes"}), at(1, sent),
+			at(2, quickStart), at(3, answered(model.OutcomeDone)),
+		},
+	}
+	for name, events := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Empty(t, Check(events, Options{}))
+		})
+	}
+}
+
+// A sequential history that respects every promise stays clean, and one more
+// start of a running task is always seen.
+func TestCheckerOnRandomHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var events []Event
+		now := 0.0
+		for i := range rapid.IntRange(1, 20).Draw(t, "tasks") {
+			task := "j/" + strconv.Itoa(i)
+			for attempt := 1; attempt <= rapid.IntRange(1, 3).Draw(t, "attempts"); attempt++ {
+				now++
+				events = append(events, at(now, start("w1", task, attempt)), at(now+0.5, end("w1", task, attempt, "failed")))
+			}
+		}
+		require.Empty(t, Check(events, Options{}))
+		i := rapid.IntRange(0, len(events)/2-1).Draw(t, "doubled") * 2
+		double := events[i]
+		double.VM, double.At = "w2", double.At.Add(time.Millisecond)
+		require.Contains(t, promises(Check(append(events, double), Options{})), OnePlace)
+	})
+}
--- /dev/null
+++ b/internal/standin/cell/cell.go
@@ -0,0 +1,215 @@
+// Package cell runs the stand-ins of a whole cell's platform in one process:
+// the log service, the VM list, workers and runners in their failure domains.
+package cell
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/history"
+	"github.com/balsamhitch/balsamhitch/internal/standin/fault"
+	"github.com/balsamhitch/balsamhitch/internal/standin/httpserver"
+	"github.com/balsamhitch/balsamhitch/internal/standin/logsvc"
+	"github.com/balsamhitch/balsamhitch/internal/standin/runner"
+	"github.com/balsamhitch/balsamhitch/internal/standin/vmlist"
+	"github.com/balsamhitch/balsamhitch/internal/standin/worker"
+)
+
+// Names under which the admin endpoint knows the services.
+const (
+	TargetLog    = "log"
+	TargetVMList = "vms"
+)
+
+// maxClockOffset spreads the workers' clocks, so that a reading of one never
+// passes for that of another.
+const maxClockOffset = 1000 * time.Hour
+
+// URLs tells where the cell's services listen.
+type URLs struct {
+	Log   string `json:"log"`
+	VMs   string `json:"vms"`
+	Admin string `json:"admin"`
+}
+
+// Cell is a running platform. It is safe for concurrent use.
+type Cell struct {
+	URLs    URLs
+	History *history.Recorder
+	Store   *logsvc.Store
+	List    *vmlist.List
+
+	mu      sync.Mutex
+	faults  map[string]*fault.Injector // by target
+	workers map[model.VMID]*worker.Worker
+	runners map[model.VMID]*runner.Runner
+	vms     []model.VM
+	servers []*httpserver.Server
+}
+
+// Start runs the cell until Close.
+func Start(config Config) (*Cell, error) {
+	c := &Cell{
+		History: &history.Recorder{},
+		Store: logsvc.NewStore(logsvc.Options{
+			Retention:  config.LogRetention,
+			AppendRate: float64(config.LogAppendsPerSecond),
+		}),
+		faults:  make(map[string]*fault.Injector),
+		workers: make(map[model.VMID]*worker.Worker),
+		runners: make(map[model.VMID]*runner.Runner),
+	}
+	if err := c.start(config); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cell) start(config Config) error {
+	if err := c.startWorkers(config); err != nil {
+		return err
+	}
+	if err := c.startRunners(config); err != nil {
+		return err
+	}
+	c.vms = append(c.vms, config.entryVMs()...)
+	c.List = vmlist.New(c.vms, config.lag(), c.History, c.onState)
+	return c.startServices(config)
+}
+
+func (c *Cell) startServices(config Config) error {
+	log, err := logsvc.Serve(address(config.Host, config.LogPort), c.Store, c.injector(TargetLog))
+	if err != nil {
+		return err
+	}
+	c.servers = append(c.servers, log)
+	list, err := c.List.Serve(address(config.Host, config.VMListPort), c.injector(TargetVMList))
+	if err != nil {
+		return err
+	}
+	c.servers = append(c.servers, list)
+	admin, err := c.serveAdmin(address(config.Host, config.AdminPort))
+	if err != nil {
+		return err
+	}
+	c.servers = append(c.servers, admin)
+	c.URLs = URLs{
+		Log:   "http://" + log.Address(),
+		VMs:   "http://" + list.Address(),
+		Admin: "http://" + admin.Address(),
+	}
+	return nil
+}
+
+func (c *Cell) startWorkers(config Config) error {
+	progress := worker.NewProgress()
+	for _, vm := range config.workerVMs() {
+		w := worker.New(worker.Options{
+			VM:          vm,
+			UsageLag:    time.Duration(config.UsageLagMS) * time.Millisecond,
+			ClockOffset: rand.N(maxClockOffset),
+			Faults:      c.injector(string(vm.ID)),
+			History:     c.History,
+			Progress:    progress,
+		})
+		server, err := w.Serve(address(config.Host, 0))
+		if err != nil {
+			return err
+		}
+		vm.Address = server.Address()
+		c.workers[vm.ID] = w
+		c.vms = append(c.vms, vm)
+		c.servers = append(c.servers, server)
+	}
+	return nil
+}
+
+func (c *Cell) startRunners(config Config) error {
+	for _, vm := range config.runnerVMs() {
+		r := runner.New(runner.Options{
+			VM:          vm,
+			ServiceTime: time.Duration(config.ServiceTimeMicros) * time.Microsecond,
+			Faults:      c.injector(string(vm.ID)),
+			History:     c.History,
+			Quiet:       config.LeaveRequestsUnnoted,
+		})
+		server, err := r.Serve(address(config.Host, 0))
+		if err != nil {
+			return err
+		}
+		vm.Address = server.Address()
+		c.runners[vm.ID] = r
+		c.vms = append(c.vms, vm)
+		c.servers = append(c.servers, server)
+	}
+	return nil
+}
+
+// Close stops all stand-ins.
+func (c *Cell) Close() {
+	for _, server := range c.servers {
+		server.Close()
+	}
+}
+
+// SetFaults sets the faults of a target: "log", "vms" or a VM's id.
+func (c *Cell) SetFaults(target string, faults fault.Faults) error {
+	c.mu.Lock()
+	injector := c.faults[target]
+	c.mu.Unlock()
+	if injector == nil {
+		return Error.New("no such target: %s", target)
+	}
+	injector.Set(faults)
+	c.History.Add(history.Event{Kind: history.FaultSet, Detail: fmt.Sprintf("%s: %+v", target, faults)})
+	return nil
+}
+
+// SetDomainGone makes every target VM of a failure domain disappear from the
+// network, or return, without a change of the VM list.
+func (c *Cell) SetDomainGone(domain model.FailureDomain, gone bool) {
+	for _, vm := range c.vms {
+		if vm.FailureDomain == domain {
+			c.setGone(vm.ID, gone)
+		}
+	}
+}
+
+func (c *Cell) injector(target string) *fault.Injector {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults[target] == nil {
+		c.faults[target] = fault.NewInjector()
+	}
+	return c.faults[target]
+}
+
+// onState lets the VMs themselves follow the VM list.
+func (c *Cell) onState(id model.VMID, state vmlist.State) {
+	c.setGone(id, state == vmlist.Gone)
+	if w := c.workers[id]; w != nil {
+		w.SetLeaving(state == vmlist.Leaving)
+	}
+}
+
+func (c *Cell) setGone(id model.VMID, gone bool) {
+	if w := c.workers[id]; w != nil {
+		w.SetGone(gone)
+	}
+	if r := c.runners[id]; r != nil {
+		r.SetGone(gone)
+	}
+	if c.workers[id] != nil || c.runners[id] != nil {
+		c.injector(string(id)).Set(fault.Faults{Down: gone})
+	}
+}
+
+func address(host string, port int) string {
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
