--- a/internal/core/rack/rack.go
+++ b/internal/core/rack/rack.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamhitch/balsamhitch/internal/core/health"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
 // worker is the state of one VM.
@@ -32,6 +33,10 @@
 	Reservation
 	worker *worker
 	pos    int
+	rise   model.Resources // of Used between the last two reports
+	// acted is the last action asked for, at the reading actedAt.
+	acted   port.TaskAction
+	actedAt time.Duration
 }
 
 type jobDomain struct {
--- a/internal/core/rack/types.go
+++ b/internal/core/rack/types.go
@@ -130,9 +130,10 @@
 	Preemptible bool
 	Probe       bool
 	Placed      time.Duration
-	ExpectedEnd time.Duration // zero for unknown
-	Expiry      time.Duration // of a gang's reservation
-	Used        model.Resources
+	ExpectedEnd time.Duration   // zero for unknown
+	Expiry      time.Duration   // of a gang's reservation
+	Used        model.Resources // as last reported
+	Peak        model.Resources // largest reported
 }
 
 // Result is the certain end of an attempt.
