--- a/internal/app/teamowner/jobs.go
+++ b/internal/app/teamowner/jobs.go
@@ -120,6 +120,8 @@
 		delete(o.appended, record.GetId())
 		o.mu.Unlock()
 	}()
+	ctx, cancel := context.WithTimeout(ctx, journalWait)
+	defer cancel()
 	if err := o.journal.Append(ctx, record); port.NotStarted.Has(err) {
 		return core.Event{}, err
 	}
--- a/internal/app/teamowner/serve.go
+++ b/internal/app/teamowner/serve.go
@@ -12,6 +12,14 @@
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
+const (
+	// saveTimeout bounds the wait for the journal before a rack is asked to
+	// report again.
+	saveTimeout = 1500 * time.Millisecond
+	// journalWait bounds the wait for a job or cancellation to be on the log.
+	journalWait = 5 * time.Second
+)
+
 // retryAfterTakeover is when a caller that met a starting or leaving owner
 // should try again.
 const retryAfterTakeover = 50 * time.Millisecond
@@ -65,6 +73,8 @@
 // release takes back permits. It acknowledges ends of tasks only once they are
 // on the log, so that the rack keeps them until then.
 func (o *Owner) release(ctx context.Context, call *peerpb.ReleasePermits) *peerpb.Response {
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
 	saved := o.applyRelease(call)
 	o.signal(o.wake)
 	if len(call.GetTasks()) == 0 {
