Follow the configuration by long polls and through members

Cause: a withdrawn key must stop within seconds in every cut-off case, and quick work must go on while the log is down for everybody. Ruled out: taking the revision in a Summaries message as proof, because it may have waited in a stopped process; Vouch is only a hint. Ruled out: a majority in place of every member, because the smaller side of a partition may hold the log.

Seen failing without their guards: expiry, silence, age of the outage, adoption, assumption, early unreadability, shrunken log.

--- /dev/null
+++ b/internal/app/configwatch/follow.go
@@ -0,0 +1,124 @@
+package configwatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/config"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// followLog reads the stream until the context ends.
+func (w *Watcher) followLog(ctx context.Context) {
+	delay := backoff.NewExponentialBackOff()
+	delay.InitialInterval = retryDelay
+	delay.MaxInterval = maxRetryDelay
+	failing := false
+	for ctx.Err() == nil {
+		err := w.step(ctx)
+		if err == nil {
+			if failing {
+				w.opt.Logger.Info("The log can be read again.")
+			}
+			failing = false
+			delay.Reset()
+			continue
+		}
+		if !failing && ctx.Err() == nil {
+			w.opt.Logger.WithError(err).Warn("Cannot read the configuration from the log.")
+		}
+		failing = true
+		sleep(ctx, delay.NextBackOff())
+	}
+}
+
+// step loads the configuration or reads what follows it.
+func (w *Watcher) step(ctx context.Context) error {
+	if !w.Ready() {
+		return w.load(ctx)
+	}
+	next := w.Snapshot().Revision()
+	sent := w.opt.Clock.Now()
+	batch, err := w.read(ctx, next, readWait)
+	if port.LogTruncated.Has(err) || (err == nil && batch.Earliest > next) {
+		return w.load(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	w.shrunk.Store(batch.Next < next)
+	if batch.Next < next {
+		return Error.New("the log ends at offset %d, before revision %d, which was read from it", batch.Next, next)
+	}
+	w.apply(batch.Records)
+	if end := endOf(batch, next); end >= batch.Next {
+		// The log's answer was given after the question was sent.
+		w.prove(end, sent)
+	}
+	return nil
+}
+
+// load builds the configuration from all that the log keeps.
+func (w *Watcher) load(ctx context.Context) error {
+	earliest, err := w.earliest(ctx)
+	if err != nil {
+		return err
+	}
+	loader := config.NewLoader(earliest)
+	next := earliest
+	for {
+		sent := w.opt.Clock.Now()
+		batch, err := w.read(ctx, next, 0)
+		if err != nil {
+			return err
+		}
+		for _, r := range batch.Records {
+			loader.Add(r.Offset, r.Data)
+		}
+		next = endOf(batch, next)
+		if next < batch.Next && len(batch.Records) > 0 {
+			continue
+		}
+		fold, ok := loader.Fold()
+		if !ok {
+			return Error.New("the log starts at offset %d and no checkpoint covers what came before", earliest)
+		}
+		w.install(fold)
+		w.prove(fold.Revision(), sent)
+		return nil
+	}
+}
+
+// earliest returns the offset of the oldest record that the log keeps.
+func (w *Watcher) earliest(ctx context.Context) (uint64, error) {
+	batch, err := w.read(ctx, 0, 0)
+	if port.LogTruncated.Has(err) {
+		return batch.Earliest, nil
+	}
+	return batch.Earliest, err
+}
+
+func (w *Watcher) read(ctx context.Context, from uint64, wait time.Duration) (port.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return w.opt.Log.Read(ctx, config.Stream, from, readLimit, wait)
+}
+
+// endOf returns the offset after the last record of a read from next.
+func endOf(batch port.Batch, next uint64) uint64 {
+	if n := len(batch.Records); n > 0 {
+		return batch.Records[n-1].Offset + 1
+	}
+	return next
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/app/configwatch/watcher.go
@@ -0,0 +1,201 @@
+package configwatch
+
+import (
+	"context"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/config"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// never is the reading of an event that did not happen.
+const never = math.MinInt64
+
+// Watcher is safe for concurrent use.
+type Watcher struct {
+	opt Options
+
+	snapshot atomic.Pointer[config.Snapshot]
+	// provenAt is when, by the process's clock, the snapshot was certainly the
+	// newest; assumedAt is when no member could read the log. Both only grow.
+	provenAt  atomic.Int64
+	assumedAt atomic.Int64
+	heard     atomic.Uint64 // newest revision that a member reported
+	shrunk    atomic.Bool   // the log answers, but without records read before
+
+	mu     sync.Mutex
+	fold   *config.Fold // nil until loaded
+	recent recent
+	ready  chan struct{} // closed once loaded
+}
+
+// New returns a watcher with an empty snapshot, which Run fills.
+func New(opt Options) *Watcher {
+	w := &Watcher{opt: opt.withDefaults(), ready: make(chan struct{})}
+	w.snapshot.Store(config.NewFold().Snapshot())
+	w.provenAt.Store(never)
+	w.assumedAt.Store(never)
+	return w
+}
+
+// Run keeps the snapshot current until the context ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		w.followLog(ctx)
+		return nil
+	})
+	group.Go(func() error {
+		w.followMembers(ctx)
+		return nil
+	})
+	return group.Wait()
+}
+
+// Snapshot returns the newest snapshot; its revision never falls. Before the
+// watcher is ready it is empty.
+func (w *Watcher) Snapshot() *config.Snapshot { return w.snapshot.Load() }
+
+// Ready reports whether the configuration was loaded. Until then nothing may
+// be decided by the snapshot.
+func (w *Watcher) Ready() bool {
+	select {
+	case <-w.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// WaitReady waits until Ready or the end of the context, whose error it
+// returns.
+func (w *Watcher) WaitReady(ctx context.Context) error {
+	select {
+	case <-w.ready:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Fresh reports whether keys may be taken and work started by the snapshot.
+func (w *Watcher) Fresh() bool {
+	if !w.Ready() {
+		return false
+	}
+	at := max(w.provenAt.Load(), w.assumedAt.Load())
+	return at != never && w.opt.Clock.Now()-time.Duration(at) <= w.opt.FreshFor
+}
+
+// Age returns the time since the snapshot was certainly the newest.
+func (w *Watcher) Age() time.Duration {
+	at := w.provenAt.Load()
+	if at == never {
+		return math.MaxInt64
+	}
+	return w.opt.Clock.Now() - time.Duration(at)
+}
+
+// Vouch takes in that a member reported a revision. It makes the watcher ask
+// the members if that is newer than its own and the log does not bring it. It
+// is no proof that the snapshot is the newest, since the report may have
+// waited in a stopped process for any time.
+func (w *Watcher) Vouch(revision uint64, _ time.Duration, _ model.MemberID) {
+	for {
+		known := w.heard.Load()
+		if revision <= known || w.heard.CompareAndSwap(known, revision) {
+			return
+		}
+	}
+}
+
+// Counts returns how many records got each verdict.
+func (w *Watcher) Counts() config.Counts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fold == nil {
+		return nil
+	}
+	return w.fold.Counts()
+}
+
+// apply takes in records that follow one another without a gap and reach back
+// to the fold's revision.
+func (w *Watcher) apply(records []port.Record) {
+	if len(records) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range records {
+		result := w.fold.Apply(r.Offset, r.Data)
+		if result.Verdict == config.Repeated {
+			continue
+		}
+		w.recent.add(r)
+		w.report(result)
+	}
+	w.publish()
+}
+
+// install replaces the fold by one that was loaded, unless that is older.
+func (w *Watcher) install(fold *config.Fold) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fold != nil && fold.Revision() <= w.fold.Revision() {
+		return
+	}
+	first := w.fold == nil
+	w.fold = fold
+	w.recent.reset(fold.Revision())
+	w.publish()
+	if first {
+		close(w.ready)
+		w.opt.Logger.WithField("revision", fold.Revision()).Info("Loaded the configuration.")
+	}
+}
+
+// publish makes the fold's state the snapshot; w.mu is held.
+func (w *Watcher) publish() {
+	if w.fold.Revision() >= w.snapshot.Load().Revision() {
+		w.snapshot.Store(w.fold.Snapshot())
+	}
+}
+
+// prove records that the snapshot of the revision was the newest at the
+// reading. It has no effect if the process has not come as far.
+func (w *Watcher) prove(revision uint64, at time.Duration) {
+	if w.Ready() && w.Snapshot().Revision() >= revision {
+		raise(&w.provenAt, int64(at))
+	}
+}
+
+// raise sets the value if it is larger than the present one.
+func raise(value *atomic.Int64, to int64) {
+	for {
+		known := value.Load()
+		if to <= known || value.CompareAndSwap(known, to) {
+			return
+		}
+	}
+}
+
+func (w *Watcher) report(result config.Result) {
+	entry := w.opt.Logger.WithField("revision", result.Revision)
+	switch result.Verdict {
+	case config.Newer:
+		entry.Warn("Skipped a record of a newer version; upgrade this program.")
+	case config.Undecodable:
+		entry.Warn("Skipped a record that cannot be read.")
+	case config.Checkpoint:
+		entry.Debug("Passed a checkpoint.")
+	default:
+		entry.WithField("object", result.Object).WithField("verdict", result.Verdict).Info("Read a change.")
+	}
+}
--- /dev/null
+++ b/internal/app/configwatch/watcher_test.go
@@ -0,0 +1,373 @@
+package configwatch
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/config"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
+)
+
+// withdrawnBound is how long after its withdrawal a key may still be taken.
+const withdrawnBound = DefaultFreshFor + time.Second
+
+// checkWithdrawn is the one checker of "a withdrawn key stops working within
+// seconds": from now on no process may take it once the bound has passed.
+func checkWithdrawn(t *testing.T, c *cell, key string) {
+	t.Helper()
+	const step = 50 * time.Millisecond
+	for since := time.Duration(0); since < time.Minute; since += step {
+		for _, p := range c.procs {
+			if since > withdrawnBound && !p.gate.Closed() {
+				require.False(t, p.takes(key), "%s takes the key %s after its withdrawal", p.address, since)
+			}
+		}
+		time.Sleep(step)
+	}
+}
+
+func TestWithdrawnKeyStops(t *testing.T) {
+	cases := map[string]func(c *cell){
+		"healthy log":              func(*cell) {},
+		"one cannot read the log":  func(c *cell) { c.procs[0].fails() },
+		"one log connection hangs": func(c *cell) { c.procs[0].hangs() },
+		"one is cut off from all": func(c *cell) {
+			c.procs[0].hangs()
+			c.isolate(c.procs[0])
+		},
+		"one hears no answers": func(c *cell) {
+			c.procs[0].fails()
+			c.peers.SetCut("member-1", "member-0", true)
+			c.peers.SetCut("member-2", "member-0", true)
+		},
+		"two are cut off together": func(c *cell) {
+			c.procs[0].fails()
+			c.procs[1].fails()
+			c.cut(c.procs[0], c.procs[2])
+			c.cut(c.procs[1], c.procs[2])
+		},
+		"one reaches only another that cannot read": func(c *cell) {
+			c.procs[0].fails()
+			c.procs[1].fails()
+			c.cut(c.procs[0], c.procs[2])
+		},
+		"all but one cannot read": func(c *cell) {
+			c.procs[0].fails()
+			c.procs[1].hangs()
+		},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCell(t, 3)
+				key, id := c.issue()
+				time.Sleep(5 * time.Second)
+				for _, p := range c.procs {
+					require.True(t, p.takes(key))
+				}
+				fault(c)
+				time.Sleep(7 * time.Second)
+				c.append(config.WithdrawKey(id))
+				checkWithdrawn(t, c, key)
+			})
+		})
+	}
+}
+
+// The withdrawal also holds when the fault begins at the same moment.
+func TestWithdrawnKeyStopsAtOnsetOfFault(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 130 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCell(t, 3)
+			key, id := c.issue()
+			time.Sleep(5*time.Second + offset)
+			c.append(config.WithdrawKey(id))
+			c.procs[0].hangs()
+			c.isolate(c.procs[0])
+			checkWithdrawn(t, c, key)
+		})
+	}
+}
+
+func TestMemberCutOffFromLogAloneFollowsThroughPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		c.issue()
+		time.Sleep(5 * time.Second)
+		c.procs[0].fails()
+		for i := range 100 {
+			time.Sleep(100 * time.Millisecond)
+			require.True(t, c.procs[0].Fresh(), "round %d", i)
+		}
+		c.append(config.DomainOut("bergen"))
+		time.Sleep(time.Second)
+		assert.True(t, c.procs[0].Snapshot().DomainOut("bergen"))
+	})
+}
+
+func TestStoppedProcessIsNotFreshWhenItWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		key, id := c.issue()
+		time.Sleep(5 * time.Second)
+		p := c.procs[0]
+		p.gate.Close()
+		c.append(config.WithdrawKey(id))
+		time.Sleep(time.Minute)
+		// A report that waited while the process was stopped proves nothing.
+		c.isolate(p)
+		p.fails()
+		p.gate.Open()
+		p.Vouch(p.Snapshot().Revision(), 0, "member-1")
+		assert.False(t, p.takes(key))
+		checkWithdrawn(t, c, key)
+	})
+}
+
+func TestQuickWorkGoesOnWhileNobodyReadsTheLog(t *testing.T) {
+	for name, fault := range map[string]func(*proc){"fails": (*proc).fails, "hangs": (*proc).hangs} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCell(t, 3)
+				key, _ := c.issue()
+				time.Sleep(5 * time.Second)
+				for i, p := range c.procs {
+					time.Sleep(time.Duration(i) * 170 * time.Millisecond)
+					fault(p)
+				}
+				for outage := time.Duration(0); outage < 10*time.Minute; outage += 50 * time.Millisecond {
+					for _, p := range c.procs {
+						require.True(t, p.takes(key), "%s after %s", p.address, outage)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				time.Sleep(DefaultMaxOutage)
+				assert.False(t, c.procs[0].Fresh(), "the outage is too old")
+			})
+		})
+	}
+}
+
+// While nobody reads the log, a member that does not answer might read it.
+// Only the VM list's word that its VM is gone ends the doubt.
+func TestSilentMemberStopsOthersUntilItsVMIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		key, _ := c.issue()
+		time.Sleep(5 * time.Second)
+		for _, p := range c.procs {
+			p.fails()
+		}
+		c.procs[2].gate.Close()
+		time.Sleep(5 * time.Second)
+		assert.False(t, c.procs[0].takes(key))
+		c.unlist(c.procs[2])
+		time.Sleep(2 * time.Second)
+		assert.True(t, c.procs[0].takes(key))
+	})
+}
+
+func TestSlowLogStillBringsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		key, id := c.issue()
+		time.Sleep(5 * time.Second)
+		for _, p := range c.procs {
+			p.log.SetFaults(porttest.Faults{ReadDelay: 2 * time.Second})
+		}
+		time.Sleep(20 * time.Second)
+		require.True(t, c.procs[0].takes(key))
+		c.append(config.WithdrawKey(id))
+		time.Sleep(5 * time.Second)
+		assert.False(t, c.procs[0].takes(key))
+	})
+}
+
+func TestChangeIsInForceWithinASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 8)
+		time.Sleep(3 * time.Second)
+		for range 20 {
+			time.Sleep(370 * time.Millisecond)
+			c.append(config.DomainOut("bergen"))
+			next := c.log.Next(config.Stream)
+			time.Sleep(time.Second)
+			for _, p := range c.procs {
+				require.Equal(t, next, p.Snapshot().Revision())
+			}
+		}
+	})
+}
+
+func TestProcessWithoutCoveringCheckpointIsNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 0)
+		key, _ := c.issue()
+		c.append(config.DomainOut("bergen"))
+		c.log.Truncate(config.Stream, 2)
+		p := c.start()
+		time.Sleep(time.Minute)
+		assert.False(t, p.Ready(), "an empty configuration must not stand for a lost one")
+		assert.False(t, p.takes(key))
+	})
+}
+
+func TestRestartFromCheckpointAndTail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1)
+		key, id := c.issue()
+		time.Sleep(time.Second)
+		require.NoError(t, c.procs[0].Checkpoint(c.ctx))
+		c.append(config.DomainOut("bergen"))
+		c.log.Truncate(config.Stream, 2)
+		p := c.start()
+		time.Sleep(time.Second)
+		assert.True(t, p.takes(key))
+		assert.True(t, p.Snapshot().DomainOut("bergen"))
+		c.append(config.WithdrawKey(id))
+		checkWithdrawn(t, c, key)
+	})
+}
+
+// A process that slept longer than the log keeps its records goes on from a
+// checkpoint and never shows an older state.
+func TestProcessThatMissedTruncatedRecordsReloads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2)
+		key, id := c.issue()
+		time.Sleep(5 * time.Second)
+		c.isolate(c.procs[0])
+		c.procs[0].gate.Close()
+		c.append(config.WithdrawKey(id))
+		c.append(config.DomainOut("bergen"))
+		time.Sleep(time.Second)
+		require.NoError(t, c.procs[1].Checkpoint(c.ctx))
+		c.log.Truncate(config.Stream, 4)
+		c.procs[0].gate.Open()
+		time.Sleep(time.Second)
+		assert.True(t, c.procs[0].Snapshot().DomainOut("bergen"))
+		checkWithdrawn(t, c, key)
+	})
+}
+
+// shrinkingLog loses all records once wiped.
+type shrinkingLog struct {
+	*porttest.MemLog
+	wiped atomic.Bool
+	empty *porttest.MemLog
+}
+
+func (l *shrinkingLog) Read(
+	ctx context.Context, stream string, from uint64, limit int, wait time.Duration,
+) (port.Batch, error) {
+	if l.wiped.Load() {
+		return l.empty.Read(ctx, stream, from, limit, wait)
+	}
+	return l.MemLog.Read(ctx, stream, from, limit, wait)
+}
+
+// A log that lost its end must not take the configuration back.
+func TestShorterLogDoesNotRevert(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 0)
+		c.issue()
+		log := &shrinkingLog{MemLog: c.log, empty: porttest.NewMemLog()}
+		w := New(Options{
+			Log:     log,
+			Clock:   porttest.NewClock(nil, 0, 0),
+			Peer:    c.peers.Client("alone", nil),
+			Members: func() ([]string, bool) { return nil, true },
+			Logger:  quiet(),
+		})
+		go func() { _ = w.Run(c.ctx) }()
+		time.Sleep(time.Second)
+		require.True(t, w.Fresh())
+		revision := w.Snapshot().Revision()
+		log.wiped.Store(true)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, revision, w.Snapshot().Revision())
+		assert.False(t, w.Fresh())
+	})
+}
+
+func TestCheckpointsAreKeptWhileHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1)
+		c.issue()
+		p := c.procs[0]
+		go p.KeepCheckpoints(c.ctx)
+		p.log.SetFaults(porttest.Faults{AppendsDown: true})
+		time.Sleep(time.Minute)
+		p.log.SetFaults(porttest.Faults{})
+		time.Sleep(time.Hour)
+		retained := c.log.Next(config.Stream)
+		time.Sleep(2 * DefaultCheckpointEvery)
+		c.log.Truncate(config.Stream, retained)
+		fresh := c.start()
+		c.isolate(fresh)
+		time.Sleep(time.Second)
+		assert.Equal(t, []model.TeamID{"quotes"}, fresh.Snapshot().Teams())
+	})
+}
+
+// newIdle returns a loaded watcher that nothing runs, 10 s into its clock.
+func newIdle(t *testing.T) *Watcher {
+	w := New(Options{Clock: porttest.NewClock(nil, 10*time.Second, 0), Logger: quiet()})
+	data, err := config.DomainOut("bergen").Encode("01A", 0)
+	require.NoError(t, err)
+	fold := config.NewFold()
+	fold.Apply(0, data)
+	w.install(fold)
+	return w
+}
+
+func TestProofIsAsOldAsTheMemberSays(t *testing.T) {
+	w := newIdle(t)
+	sent := w.opt.Clock.Now()
+	w.take(&peerpb.ConfigReply{Ready: true, Readable: true, Revision: 1, AgeMs: 1400}, sent)
+	assert.Equal(t, int64(sent-1400*time.Millisecond), w.provenAt.Load())
+}
+
+func TestNewerRevisionWithoutItsRecordsProvesNothing(t *testing.T) {
+	w := newIdle(t)
+	w.take(&peerpb.ConfigReply{Ready: true, Readable: true, Revision: 2}, w.opt.Clock.Now())
+	assert.False(t, w.Fresh())
+}
+
+func TestNobodyReadsNeedsEveryMember(t *testing.T) {
+	w := newIdle(t)
+	w.prove(1, w.opt.Clock.Now())
+	silent := &peerpb.ConfigReply{Ready: true, Revision: 1}
+	assert.True(t, w.nobodyReads([]*peerpb.ConfigReply{silent, {}}))
+	assert.False(t, w.nobodyReads([]*peerpb.ConfigReply{silent, nil}))
+	assert.False(t, w.nobodyReads([]*peerpb.ConfigReply{silent, {Ready: true, Revision: 1, Readable: true}}))
+	assert.False(t, w.nobodyReads([]*peerpb.ConfigReply{silent, {Ready: true, Revision: 2}}))
+}
+
+func TestOlderStateIsNotInstalled(t *testing.T) {
+	w := newIdle(t)
+	w.install(config.NewFold())
+	assert.Equal(t, uint64(1), w.Snapshot().Revision())
+	assert.Equal(t, uint64(1), w.Answer(&peerpb.ConfigQuery{}).GetRevision())
+}
+
+func TestMemberThatStartsWithoutLogLoadsFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2)
+		key, _ := c.issue()
+		time.Sleep(5 * time.Second)
+		p := c.start()
+		p.fails()
+		time.Sleep(2 * time.Second)
+		assert.True(t, p.takes(key))
+	})
+}
