Test the team's state over random offers, ends and cancellations

Cause: tasks must end once and no permit may leak whatever order ends come in. Ruled out: only example tests. Change: six examples of retries, lost and intended non-idempotent tasks, and a property with a checker of all counts.

--- /dev/null
+++ b/internal/core/team/state_test.go
@@ -0,0 +1,229 @@
+package team
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/zeebo/errs"
+	"pgregory.net/rapid"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/journal"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+	"github.com/balsamhitch/balsamhitch/internal/proptest"
+)
+
+const (
+	testTeam  = model.TeamID("layouts")
+	testRack  = model.PartitionID("rack/a")
+	testEpoch = model.Epoch(3)
+)
+
+func TestMain(m *testing.M) {
+	proptest.Main(m, proptest.Settings{Checks: 300, Steps: 60})
+}
+
+func newState(limit int64) *State {
+	s := New(testTeam, testEpoch)
+	s.SetTemplate(model.WorkspaceTemplate{
+		Team:       testTeam,
+		Share:      1,
+		UpperLimit: model.Resources{MilliCPU: limit, Slots: limit},
+		MaxQueued:  1000,
+	})
+	s.Ledger().Settle(testRack, testEpoch, 0, nil, model.Resources{})
+	return s
+}
+
+func jobOf(id string, tasks int) *journal.JobState {
+	return &journal.JobState{
+		Job:   model.Job{ID: model.JobID(id), Team: testTeam, Kind: model.WorkBatch, Tasks: tasks, Size: model.Resources{MilliCPU: 1}},
+		Marks: make([]journal.TaskMark, tasks),
+	}
+}
+
+func offerOne(t *testing.T, s *State, id string) TaskOffer {
+	t.Helper()
+	offer, err := s.OfferTask(model.JobID(id), testRack, testEpoch, 0)
+	require.NoError(t, err)
+	return offer
+}
+
+func TestFailedTaskIsRetriedElsewhereABoundedNumberOfTimes(t *testing.T) {
+	s := newState(10)
+	s.AddJob(jobOf("j", 1))
+	for try := 1; try <= maxTries; try++ {
+		offer := offerOne(t, s, "j")
+		assert.Len(t, offer.Avoid, try-1)
+		s.Started(offer.Permit.ID)
+		s.Ended(End{Permit: offer.Permit.ID, Task: offer.Task, Attempt: offer.Attempt, VM: model.VMID(rune('a' + try)), Detail: "exit 1"})
+	}
+	view, _ := s.Job("j")
+	assert.Equal(t, JobFailed, view.State)
+	assert.Equal(t, "exit 1", view.Detail)
+	assert.Equal(t, model.Resources{}, s.Ledger().Used())
+}
+
+func TestLostNonIdempotentTaskIsUnknownAndNotRepeated(t *testing.T) {
+	s := newState(10)
+	job := jobOf("j", 1)
+	job.Job.NonIdempotent = true
+	s.AddJob(job)
+	offer := offerOne(t, s, "j")
+	s.Ended(End{Permit: offer.Permit.ID, Task: offer.Task, Attempt: offer.Attempt, Lost: true})
+	view, _ := s.Job("j")
+	assert.Equal(t, JobUnknown, view.State)
+	assert.Empty(t, s.Candidates(10, 0, time.Time{}))
+}
+
+func TestTakeoverDoesNotRepeatAnIntendedNonIdempotentTask(t *testing.T) {
+	job := jobOf("j", 2)
+	job.Job.NonIdempotent = true
+	job.Marks[0] = journal.TaskIntended
+	s := newState(10)
+	s.AddJob(job)
+	offer := offerOne(t, s, "j")
+	assert.Equal(t, model.NewTask("j", 1), offer.Task)
+	_, err := s.OfferTask("j", testRack, testEpoch, 0)
+	assert.Error(t, err)
+	s.Adopt(model.NewTask("j", 0), 1, "former.1.1")
+	s.Ended(End{Permit: "former.1.1", Task: model.NewTask("j", 0), Attempt: 1, Done: true})
+	s.Ended(End{Permit: offer.Permit.ID, Task: offer.Task, Attempt: offer.Attempt, Done: true})
+	view, _ := s.Job("j")
+	assert.Equal(t, JobDone, view.State, "the rack reported the end of the intended task")
+}
+
+func TestIntentOfAnotherRequestAnswersUnknown(t *testing.T) {
+	s := newState(10)
+	s.AddIntent(&logpb.Intent{RequestId: "r1", IdempotencyKey: "k"}, 0)
+	admission := s.Admit(Quick{Request: "r2", Key: "k", NonIdempotent: true}, 0)
+	assert.Equal(t, KeyEnded, admission.Standing)
+	assert.Equal(t, model.OutcomeUnknown, admission.Outcome)
+}
+
+func TestRefusedRequestFreesItsKey(t *testing.T) {
+	s := newState(10)
+	require.Equal(t, KeyNew, s.Admit(Quick{Request: "r1", Key: "k"}, 0).Standing)
+	assert.Equal(t, KeyInFlight, s.Admit(Quick{Request: "r2", Key: "k"}, 0).Standing)
+	s.Finish("k", "r1", model.OutcomeNotRun, model.Answer{}, 0)
+	assert.Equal(t, KeyNew, s.Admit(Quick{Request: "r3", Key: "k"}, 0).Standing)
+}
+
+func TestCancelledJobEndsAfterItsRunningTasks(t *testing.T) {
+	s := newState(10)
+	s.AddJob(jobOf("j", 3))
+	offer := offerOne(t, s, "j")
+	s.Started(offer.Permit.ID)
+	assert.Equal(t, []string{offer.Permit.ID}, s.Cancel("j"))
+	view, _ := s.Job("j")
+	assert.Equal(t, JobRunning, view.State)
+	s.Ended(End{Permit: offer.Permit.ID, Task: offer.Task, Attempt: offer.Attempt, Lost: true})
+	view, _ = s.Job("j")
+	assert.Equal(t, JobCancelled, view.State)
+	assert.Zero(t, s.Waiting())
+}
+
+// check is the invariant of a team's state: counts match the tasks, no task is
+// lost, and every permit in use belongs to a task that is offered or running.
+func check(s *State) error {
+	if err := s.ledger.Check(); err != nil {
+		return err
+	}
+	waiting := 0
+	for _, j := range s.jobs {
+		var counts [TaskCancelled + 1]int
+		for i := range j.tasks {
+			counts[j.tasks[i].state]++
+		}
+		if counts != j.counts {
+			return errs.New("job %s: counts %v, tasks %v", j.ID, j.counts, counts)
+		}
+		if counts[TaskWaiting] != len(j.waiting) {
+			return errs.New("job %s: %d wait, %d listed", j.ID, counts[TaskWaiting], len(j.waiting))
+		}
+		if j.open() && j.finalState() != "" {
+			return errs.New("job %s is open and cannot change", j.ID)
+		}
+		waiting += counts[TaskWaiting]
+	}
+	if waiting != s.waiting {
+		return errs.New("%d tasks wait, %d counted", waiting, s.waiting)
+	}
+	return nil
+}
+
+// TestEveryTaskEndsOnce drives offers, refusals, repeated and late ends,
+// cancellations and takeovers from the journal, and checks that accounting
+// holds and that a task of a job never runs twice at once.
+func TestEveryTaskEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newState(5)
+		var offers []TaskOffer
+		next := 0
+		take := func(t *rapid.T) (TaskOffer, bool) {
+			if len(offers) == 0 {
+				return TaskOffer{}, false
+			}
+			return offers[rapid.IntRange(0, len(offers)-1).Draw(t, "offer")], true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				next++
+				job := jobOf(string(rune('a'+next%26)), rapid.IntRange(1, 4).Draw(t, "tasks"))
+				job.Job.NonIdempotent = rapid.Bool().Draw(t, "non-idempotent")
+				s.AddJob(job)
+			},
+			"offer": func(t *rapid.T) {
+				for _, c := range s.Candidates(3, time.Hour, time.Time{}) {
+					offer, err := s.OfferTask(c.Job.ID, testRack, testEpoch, 0)
+					if err == nil {
+						offers = append(offers, offer)
+					}
+				}
+			},
+			"start": func(t *rapid.T) {
+				if o, ok := take(t); ok {
+					s.Started(o.Permit.ID)
+				}
+			},
+			"refuse": func(t *rapid.T) {
+				if o, ok := take(t); ok {
+					s.Refused(o.Permit.ID, true, 0)
+				}
+			},
+			"end": func(t *rapid.T) {
+				if o, ok := take(t); ok {
+					s.Ended(End{
+						Permit:  o.Permit.ID,
+						Task:    o.Task,
+						Attempt: o.Attempt,
+						Done:    rapid.Bool().Draw(t, "done"),
+						Lost:    rapid.Bool().Draw(t, "lost"),
+					})
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				if o, ok := take(t); ok {
+					s.Cancel(o.Job.ID)
+				}
+			},
+			"": func(t *rapid.T) {
+				if err := check(s); err != nil {
+					t.Fatal(err)
+				}
+				running := map[model.TaskID]bool{}
+				for _, o := range offers {
+					if _, used := s.ledger.Lookup(o.Permit.ID); !used {
+						continue
+					}
+					if running[o.Task] {
+						t.Fatalf("task %s holds two permits", o.Task)
+					}
+					running[o.Task] = true
+				}
+			},
+		})
+	})
+}
