Fold ownership from the log and run members on it

Cause: every partition needs one holder at a time, without a consensus group; the log's order is the only arbiter. Ruled out: one record per partition renewal (a log that takes a few hundred appends a second cannot carry it); claims that need a separate removal record first (two log round trips more per takeover). Change: pure fold, lease arithmetic, placement and promises in internal/core/ownership; the runtime with renewals, claims, graceful handover, checkpoints and promises in internal/app/membership; members.proto; promise and identity messages at 40 and 41 of the peer messages; one invariant checker. The guards have not been removed one by one yet; that and the state-machine test follow.

--- /dev/null
+++ b/internal/app/membership/cluster_test.go
@@ -0,0 +1,220 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/ownership/ownershiptest"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
+)
+
+var testDomains = []model.FailureDomain{"marrakech", "ouarzazate", "guelmim"}
+
+// node is one process of a test cluster.
+type node struct {
+	*Member
+	address string
+	gate    *porttest.Gate
+	log     *porttest.MemClient
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+func (n *node) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+	n.gate.Wait()
+	response, _ := n.ServePeer(ctx, request)
+	n.gate.Wait()
+	return response
+}
+
+// cluster runs members on an in-memory log. It lives in one synctest bubble.
+type cluster struct {
+	fail    func(error)
+	log     *porttest.MemLog
+	peers   *porttest.Peers
+	checker *ownershiptest.Checker
+
+	mu     sync.Mutex
+	vms    []model.VM
+	wanted []model.PartitionID
+
+	nodes []*node // running ones
+	made  int
+}
+
+func newCluster(t interface {
+	Helper()
+	Errorf(string, ...any)
+	FailNow()
+}, racks int,
+) *cluster {
+	c := &cluster{
+		log:     porttest.NewMemLog(),
+		peers:   porttest.NewPeers(),
+		checker: ownershiptest.NewChecker(),
+		wanted:  []model.PartitionID{model.SystemPartition, model.TeamPartition("guild")},
+	}
+	c.fail = func(err error) {
+		t.Helper()
+		require.NoError(t, err)
+	}
+	c.peers.SetDelay(time.Millisecond)
+	for i := range racks {
+		c.wanted = append(c.wanted, model.RackPartition(fmt.Sprint(i)))
+	}
+	return c
+}
+
+// start runs a new member at the address.
+func (c *cluster) start(address string) *node {
+	c.made++
+	gate := &porttest.Gate{}
+	n := &node{
+		address: address,
+		gate:    gate,
+		log:     c.log.Client(gate),
+		done:    make(chan struct{}),
+	}
+	n.log.SetFaults(healthy)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	drift := int64(c.made%3-1) * 200
+	n.Member = New(Options{
+		ID:      model.MemberID(fmt.Sprintf("m%02d", c.made)),
+		Address: address,
+		Domain:  testDomains[c.made%len(testDomains)],
+		Log:     n.log,
+		Clock:   porttest.NewClock(gate, time.Duration(c.made)*time.Hour, drift),
+		Peer:    c.peers.Client(address, gate),
+		VMs:     c.list,
+		Wanted:  c.want,
+		Drain:   func(context.Context, model.PartitionID, model.Epoch) { time.Sleep(10 * time.Millisecond) },
+		Logger:  logrus.NewEntry(logger),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		_ = n.Run(ctx)
+	}()
+	c.peers.Attach(address, n)
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+var healthy = porttest.Faults{AppendDelay: 3 * time.Millisecond, ReadDelay: 2 * time.Millisecond}
+
+func (c *cluster) startMany(count int) {
+	for i := range count {
+		c.start(fmt.Sprintf("10.0.0.%d:7000", i+1))
+	}
+}
+
+// kill ends the process at once.
+func (c *cluster) kill(n *node) {
+	c.peers.Attach(n.address, nil)
+	for i, other := range c.nodes {
+		if other == n {
+			c.nodes = append(c.nodes[:i:i], c.nodes[i+1:]...)
+			break
+		}
+	}
+	n.cancel()
+	n.gate.Open()
+	<-n.done
+}
+
+func (c *cluster) stop() {
+	for len(c.nodes) > 0 {
+		c.kill(c.nodes[0])
+	}
+}
+
+func (c *cluster) list() []model.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms
+}
+
+func (c *cluster) setVMs(addresses ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.vms = nil
+	for _, a := range addresses {
+		c.vms = append(c.vms, model.VM{Role: model.RoleEntry, Address: a})
+	}
+}
+
+func (c *cluster) want() []model.PartitionID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wanted
+}
+
+// unwant drops the last wanted partition.
+func (c *cluster) unwant() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wanted = c.wanted[:len(c.wanted)-1]
+}
+
+// actors returns every member that may act now. A frozen one acts for nothing.
+func (c *cluster) actors() []ownershiptest.Actor {
+	var actors []ownershiptest.Actor
+	for _, n := range c.nodes {
+		if n.gate.Closed() {
+			continue
+		}
+		for p, e := range n.acts.Load().held {
+			if n.MayAct(p, e) {
+				actors = append(actors, ownershiptest.Actor{Member: n.opt.ID, Partition: p, Epoch: e})
+			}
+		}
+	}
+	return actors
+}
+
+// run lets time pass and checks the invariants every few milliseconds.
+func (c *cluster) run(d time.Duration) {
+	const step = 7 * time.Millisecond
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(min(step, time.Until(end)))
+		c.fail(c.checker.Instant(time.Now(), c.actors()))
+	}
+}
+
+func (c *cluster) served() error {
+	return ownershiptest.Served(time.Now(), c.want(), c.actors())
+}
+
+// settle runs until every partition is served and returns how long it took.
+func (c *cluster) settle(most time.Duration) time.Duration {
+	begin := time.Now()
+	for c.served() != nil && time.Since(begin) < most {
+		c.run(10 * time.Millisecond)
+	}
+	c.fail(c.served())
+	return time.Since(begin)
+}
+
+// loadsOf returns how many partitions of the kind each running member holds.
+func (c *cluster) loadsOf(kind model.PartitionKind) map[model.MemberID]int {
+	loads := make(map[model.MemberID]int)
+	for _, n := range c.nodes {
+		loads[n.opt.ID] = 0
+		for p := range n.acts.Load().held {
+			if p.Kind() == kind {
+				loads[n.opt.ID]++
+			}
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/internal/app/membership/directory.go
@@ -0,0 +1,73 @@
+package membership
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/ownership"
+)
+
+const directoryShards = 16
+
+type entry struct {
+	address string
+	epoch   model.Epoch
+}
+
+type directoryShard struct {
+	mu      sync.RWMutex
+	entries map[model.PartitionID]entry
+}
+
+// directory answers who holds a partition without touching the fold's lock.
+type directory struct {
+	shards [directoryShards]directoryShard
+}
+
+func newDirectory() *directory {
+	d := &directory{}
+	for i := range d.shards {
+		d.shards[i].entries = make(map[model.PartitionID]entry)
+	}
+	return d
+}
+
+func (d *directory) shard(p model.PartitionID) *directoryShard {
+	return &d.shards[xxhash.Sum64String(string(p))%directoryShards]
+}
+
+func (d *directory) get(p model.PartitionID) (string, model.Epoch, bool) {
+	s := d.shard(p)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	e, ok := s.entries[p]
+	return e.address, e.epoch, ok
+}
+
+// update copies what the state says of the partition.
+func (d *directory) update(state *ownership.State, p model.PartitionID) {
+	address, epoch, ok := state.Owner(p)
+	s := d.shard(p)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ok {
+		s.entries[p] = entry{address, epoch}
+	} else {
+		delete(s.entries, p)
+	}
+}
+
+// replace copies the whole state.
+func (d *directory) replace(state *ownership.State) {
+	for i := range d.shards {
+		s := &d.shards[i]
+		s.mu.Lock()
+		clear(s.entries)
+		s.mu.Unlock()
+	}
+	for _, p := range state.Partitions() {
+		d.update(state, p)
+	}
+}
--- /dev/null
+++ b/internal/app/membership/follower.go
@@ -0,0 +1,219 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/sirupsen/logrus"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/ownership"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// listener hears what the follower reads. It is called with the follower's
+// lock held.
+type listener interface {
+	// onRecord is called after the record has been applied.
+	onRecord(offset uint64, record *logpb.MembersRecord, change ownership.Change)
+	// onRebuilt is called after the state was built anew.
+	onRebuilt()
+	// onRead is called at the end of each read, at the clock reading now.
+	onRead(now time.Duration)
+}
+
+// follower reads the members stream and folds it.
+type follower struct {
+	log    port.Log
+	clock  port.Clock
+	logger *logrus.Entry
+	wait   time.Duration // of one read
+	silent time.Duration // of an empty log, after which nobody can hold a lease
+	dir    *directory
+	listen listener
+
+	// mu guards everything below. The clock is never read while it is held.
+	mu          sync.Mutex
+	replay      *ownership.Replay
+	watch       *ownership.Watch
+	readEnd     time.Duration // when a read last reached the end of the log
+	silentSince time.Duration
+	checkpoint  uint64 // Next of the newest checkpoint read
+}
+
+func newFollower(log port.Log, clock port.Clock, logger *logrus.Entry, o timing, l listener) *follower {
+	return &follower{
+		log:    log,
+		clock:  clock,
+		logger: logger,
+		wait:   o.renewEvery,
+		silent: 2 * (o.lease + o.margin),
+		dir:    newDirectory(),
+		listen: l,
+		watch:  ownership.NewWatch(o.lease, o.margin),
+	}
+}
+
+// timing holds the durations that members and observers share.
+type timing struct {
+	lease, renewEvery, margin time.Duration
+}
+
+// state returns the fold, or nil while it is unknown. mu must be held.
+func (f *follower) state() *ownership.State {
+	if f.replay == nil {
+		return nil
+	}
+	return f.replay.State()
+}
+
+// follow reads until the context ends.
+func (f *follower) follow(ctx context.Context) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = readRetryFirst
+	pause.MaxInterval = readRetryMost
+	failing := false
+	for ctx.Err() == nil {
+		err := f.readOnce(ctx)
+		if err == nil {
+			if failing {
+				f.logger.Info("log reads work again")
+			}
+			failing = false
+			pause.Reset()
+			continue
+		}
+		if !failing && ctx.Err() == nil {
+			f.logger.WithError(err).Warn("cannot read the log")
+		}
+		failing = true
+		wait(ctx, pause.NextBackOff())
+	}
+	return nil
+}
+
+func (f *follower) readOnce(ctx context.Context) error {
+	f.mu.Lock()
+	from := uint64(0)
+	if f.replay != nil {
+		from = f.replay.Next()
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, f.wait+readSlack)
+	defer cancel()
+	batch, err := f.log.Read(ctx, ownership.Stream, from, readLimit, f.wait)
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if port.LogTruncated.Has(err) {
+		f.restart(batch.Earliest, now)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.take(batch, now)
+	f.listen.onRead(now)
+	return nil
+}
+
+// restart drops the state, because records after it are gone.
+func (f *follower) restart(earliest uint64, now time.Duration) {
+	if f.replay != nil {
+		f.logger.WithField("earliest", earliest).Warn("the log dropped unread records; reading anew")
+	}
+	f.replay = ownership.NewReplay(earliest)
+	f.silentSince = now
+	if f.state() != nil {
+		f.rebuilt(now)
+	}
+}
+
+func (f *follower) take(batch port.Batch, now time.Duration) {
+	if f.replay == nil {
+		f.restart(batch.Earliest, now)
+	}
+	f.replay.Truncated(batch.Earliest)
+	for _, r := range batch.Records {
+		f.apply(r, now)
+	}
+	if f.replay.Next() < batch.Next {
+		return
+	}
+	f.readEnd = now
+	if len(batch.Records) > 0 {
+		f.silentSince = now
+	}
+	if f.state() == nil && now-f.silentSince >= f.silent && f.replay.AssumeEmpty() {
+		f.logger.Info("the log keeps no records; starting with an empty state")
+		f.rebuilt(now)
+	}
+}
+
+func (f *follower) apply(r port.Record, now time.Duration) {
+	record := ownership.Decode(r.Data)
+	change, found := f.replay.Apply(r.Offset, record)
+	if c := record.GetCheckpoint(); c != nil {
+		f.checkpoint = max(f.checkpoint, c.GetNext())
+	}
+	if found {
+		f.rebuilt(now)
+		return
+	}
+	state := f.state()
+	if state == nil {
+		return
+	}
+	if change.Renewed != "" {
+		f.watch.Renewed(change.Renewed, now)
+	}
+	for _, p := range change.Partitions {
+		f.dir.update(state, p)
+	}
+	f.listen.onRecord(r.Offset, record, change)
+}
+
+func (f *follower) rebuilt(now time.Duration) {
+	f.dir.replace(f.state())
+	f.watch.Reset(f.state().Members(), now)
+	f.listen.onRebuilt()
+}
+
+// infos describes all members at the clock reading now.
+func (f *follower) infos(now time.Duration) []Info {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.state()
+	if state == nil {
+		return nil
+	}
+	holdings := make(map[model.MemberID]int)
+	for _, p := range state.Partitions() {
+		holdings[state.Holding(p).Owner]++
+	}
+	var infos []Info
+	for _, m := range state.Members() {
+		infos = append(infos, Info{
+			ID:       m.ID,
+			Address:  m.Address,
+			Domain:   m.Domain,
+			Leaving:  m.Leaving,
+			Lapsed:   f.watch.Lapsed(m.ID, now),
+			Holdings: holdings[m.ID],
+		})
+	}
+	return infos
+}
+
+// wait sleeps for d or until the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/app/membership/member_test.go
@@ -0,0 +1,147 @@
+package membership
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/ownership"
+)
+
+const takeoverLimit = 2600 * time.Millisecond
+
+func TestKilledOwnersPartitionsAreTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 30)
+		defer c.stop()
+		c.startMany(9)
+		t.Logf("served after start: %v", c.settle(10*time.Second))
+		c.run(10 * time.Second)
+		worst := time.Duration(0)
+		for i := range 8 {
+			c.run(time.Duration(i) * 53 * time.Millisecond)
+			c.kill(c.nodes[0])
+			worst = max(worst, c.settle(takeoverLimit))
+		}
+		t.Logf("longest takeover: %v", worst)
+	})
+}
+
+func TestLoadIsEvenAndAppendsAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 28)
+		defer c.stop()
+		c.startMany(9)
+		c.run(20 * time.Second)
+		c.fail(c.served())
+		for _, kind := range []model.PartitionKind{model.KindSystem, model.KindTeam, model.KindRack} {
+			loads := slices.Collect(maps.Values(c.loadsOf(kind)))
+			assert.LessOrEqual(t, slices.Max(loads)-slices.Min(loads), 1, kind)
+		}
+		before := c.log.Next(ownership.Stream)
+		c.run(10 * time.Second)
+		rate := float64(c.log.Next(ownership.Stream)-before) / 10
+		t.Logf("appends per second: %.1f", rate)
+		assert.Less(t, rate, 40.0)
+	})
+}
+
+func TestOrderlyExitLosesNoServiceTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 20)
+		defer c.stop()
+		c.startMany(4)
+		c.run(10 * time.Second)
+		leaver := c.nodes[1]
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		begin := time.Now()
+		require.NoError(t, leaver.HandoverAll(ctx))
+		t.Logf("orderly exit took %v", time.Since(begin))
+		assert.Less(t, c.settle(100*time.Millisecond), 100*time.Millisecond)
+		c.kill(leaver)
+		c.run(5 * time.Second)
+		c.fail(c.served())
+		assert.Len(t, c.nodes[0].Members(), 3)
+	})
+}
+
+func TestUnwantedPartitionIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		defer c.stop()
+		c.startMany(2)
+		c.run(5 * time.Second)
+		gone := model.RackPartition("3")
+		c.unwant()
+		c.run(15 * time.Second)
+		_, _, ok := c.nodes[0].Owner(gone)
+		assert.False(t, ok)
+	})
+}
+
+func TestNewVMsTakeOverOnceTheListDropsTheOldOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		defer c.stop()
+		c.startMany(2)
+		c.setVMs("10.0.0.1:7000", "10.0.0.2:7000")
+		c.run(5 * time.Second)
+		c.stop()
+		c.start("10.0.0.3:7000")
+		c.run(30 * time.Second)
+		assert.Empty(t, c.actors(), "the old VMs may still act on promises")
+		c.setVMs("10.0.0.3:7000")
+		c.settle(goneGrace + takeoverLimit)
+	})
+}
+
+func TestRestartedProcessesTakeOverFromThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 12)
+		defer c.stop()
+		c.startMany(5)
+		c.run(5 * time.Second)
+		c.stop()
+		c.startMany(5)
+		t.Logf("served after a restart of all: %v", c.settle(5*time.Second))
+	})
+}
+
+func TestJoinerReadsACheckpointWhenTheLogForgot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		defer c.stop()
+		c.startMany(3)
+		c.run(30 * time.Second)
+		c.log.Truncate(ownership.Stream, c.log.Next(ownership.Stream)-400)
+		joiner := c.start("10.0.0.9:7000")
+		c.run(10 * time.Second)
+		assert.Len(t, c.nodes[0].Members(), 4)
+		assert.Positive(t, c.loadsOf(model.KindRack)[joiner.opt.ID])
+	})
+}
+
+func TestFrozenMemberIsRefusedAfterItWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		defer c.stop()
+		c.startMany(3)
+		c.run(5 * time.Second)
+		frozen := c.nodes[0]
+		frozen.gate.Close()
+		c.run(10 * time.Second)
+		c.fail(c.served())
+		frozen.gate.Open()
+		c.run(10 * time.Second)
+		c.fail(c.served())
+		assert.Positive(t, c.loadsOf(model.KindRack)[frozen.opt.ID], "it joins again")
+	})
+}
--- /dev/null
+++ b/internal/core/ownership/apply.go
@@ -0,0 +1,172 @@
+package ownership
+
+import (
+	"slices"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+)
+
+func (s *State) applyJoin(offset uint64, join *logpb.Join, change *Change) {
+	id := model.MemberID(join.GetMember())
+	if id == "" || s.members[id] != nil {
+		return
+	}
+	s.members[id] = &Member{
+		ID:      id,
+		Address: join.GetAddress(),
+		Domain:  model.FailureDomain(join.GetFailureDomain()),
+		Joined:  offset,
+		Renewed: offset,
+	}
+	change.Joined = id
+	change.Members = true
+	change.Renewed = id
+}
+
+func (s *State) applyRenewal(offset uint64, renewal *logpb.Renewal, change *Change) {
+	m := s.members[model.MemberID(renewal.GetMember())]
+	if m == nil {
+		return
+	}
+	m.Renewed = offset
+	m.ReadNext = max(m.ReadNext, renewal.GetReadNext())
+	change.Renewed = m.ID
+	if renewal.GetLeaving() && !m.Leaving {
+		m.Leaving = true
+		change.Members = true
+	}
+}
+
+func (s *State) applyClaim(offset uint64, claim *logpb.Claim, change *Change) {
+	claimer := model.MemberID(claim.GetMember())
+	if s.members[claimer] == nil {
+		return
+	}
+	for _, c := range claim.GetPartitions() {
+		if s.stands(c) {
+			s.set(model.PartitionID(c.GetPartition()), Holding{claimer, model.Epoch(offset)}, change)
+		}
+	}
+	for _, l := range claim.GetLapsed() {
+		m := s.members[model.MemberID(l.GetMember())]
+		if m != nil && m.ID != claimer && m.Renewed == l.GetRenewal() {
+			s.remove(m.ID, change)
+		}
+	}
+}
+
+// stands reports whether nothing in the log contradicts the claim. A claim
+// that names a holder which has since been removed stands too, for removal
+// proves the same as the claim does: that the holder's lease has run out.
+func (s *State) stands(c *logpb.PartitionClaim) bool {
+	h := s.partitions[model.PartitionID(c.GetPartition())]
+	if c.GetPartition() == "" || h.Epoch != model.Epoch(c.GetEpoch()) {
+		return false
+	}
+	if h.Owner == "" {
+		return true
+	}
+	return string(h.Owner) == c.GetHolder() && s.members[h.Owner].Renewed == c.GetHolderRenewal()
+}
+
+func (s *State) applyRelease(offset uint64, release *logpb.Release, change *Change) {
+	holder := model.MemberID(release.GetMember())
+	for _, r := range release.GetPartitions() {
+		p := model.PartitionID(r.GetPartition())
+		if holder == "" || s.partitions[p] != (Holding{holder, model.Epoch(r.GetEpoch())}) {
+			continue
+		}
+		to := model.MemberID(r.GetTo())
+		switch {
+		case s.members[to] != nil:
+			s.set(p, Holding{to, model.Epoch(offset)}, change)
+		case r.GetForget():
+			delete(s.partitions, p)
+			change.Partitions = append(change.Partitions, p)
+		default:
+			s.set(p, Holding{"", model.Epoch(r.GetEpoch())}, change)
+		}
+	}
+}
+
+// remove takes a member out and leaves its partitions without a holder.
+func (s *State) remove(id model.MemberID, change *Change) {
+	if s.members[id] == nil {
+		return
+	}
+	delete(s.members, id)
+	change.Members = true
+	for p, epoch := range s.HeldBy(id) {
+		s.set(p, Holding{"", epoch}, change)
+	}
+}
+
+func (s *State) set(p model.PartitionID, h Holding, change *Change) {
+	s.partitions[p] = h
+	change.Partitions = append(change.Partitions, p)
+}
+
+// Checkpoint returns the state as a record body.
+func (s *State) Checkpoint() *logpb.Checkpoint {
+	c := &logpb.Checkpoint{Next: s.next}
+	for _, m := range s.Members() {
+		c.Members = append(c.Members, &logpb.CheckpointMember{
+			Member:        string(m.ID),
+			Address:       m.Address,
+			FailureDomain: string(m.Domain),
+			Joined:        m.Joined,
+			Renewed:       m.Renewed,
+			ReadNext:      m.ReadNext,
+			Leaving:       m.Leaving,
+		})
+	}
+	for _, p := range s.Partitions() {
+		h := s.partitions[p]
+		c.Partitions = append(c.Partitions, &logpb.CheckpointPartition{
+			Partition: string(p),
+			Owner:     string(h.Owner),
+			Epoch:     uint64(h.Epoch),
+		})
+	}
+	return c
+}
+
+// FromCheckpoint returns the state that a checkpoint holds.
+func FromCheckpoint(c *logpb.Checkpoint) *State {
+	s := NewState(c.GetNext())
+	for _, m := range c.GetMembers() {
+		id := model.MemberID(m.GetMember())
+		s.members[id] = &Member{
+			ID:       id,
+			Address:  m.GetAddress(),
+			Domain:   model.FailureDomain(m.GetFailureDomain()),
+			Joined:   m.GetJoined(),
+			Renewed:  m.GetRenewed(),
+			ReadNext: m.GetReadNext(),
+			Leaving:  m.GetLeaving(),
+		}
+	}
+	for _, p := range c.GetPartitions() {
+		h := Holding{model.MemberID(p.GetOwner()), model.Epoch(p.GetEpoch())}
+		if h.Owner != "" && s.members[h.Owner] == nil {
+			h.Owner = ""
+		}
+		s.partitions[model.PartitionID(p.GetPartition())] = h
+	}
+	return s
+}
+
+// Equal reports whether both states have applied as far and say the same.
+// Skipped records are not compared, since a checkpoint does not carry them.
+func (s *State) Equal(o *State) bool {
+	if s.next != o.next || len(s.partitions) != len(o.partitions) {
+		return false
+	}
+	for p, h := range s.partitions {
+		if other, ok := o.partitions[p]; !ok || other != h {
+			return false
+		}
+	}
+	return slices.Equal(s.Members(), o.Members())
+}
--- /dev/null
+++ b/internal/core/ownership/state.go
@@ -0,0 +1,169 @@
+// Package ownership holds the pure rules of membership and partition
+// ownership: the fold of the members stream, the lease arithmetic, the
+// placement of partitions on members and the promises that replace renewals
+// while the log is down. Nothing here reads a clock or starts a goroutine, and
+// no type is safe for concurrent use unless it says so.
+package ownership
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+)
+
+// Stream is the log stream that holds the membership records.
+const Stream = "members"
+
+// RecordVersion is the newest version of a record that this code understands.
+const RecordVersion = 1
+
+// Member is one process of the cluster as the log tells it.
+type Member struct {
+	ID       model.MemberID
+	Address  string // of its peer listener
+	Domain   model.FailureDomain
+	Joined   uint64 // offset of its Join
+	Renewed  uint64 // offset of its last Renewal or Join
+	ReadNext uint64 // it had applied all records before this offset
+	Leaving  bool   // it is handing over and takes nothing more
+}
+
+// Holding tells who holds a partition. An empty Owner means nobody; Epoch is
+// then that of the last claim.
+type Holding struct {
+	Owner model.MemberID
+	Epoch model.Epoch
+}
+
+// Change tells what a record did to the state.
+type Change struct {
+	Partitions []model.PartitionID // whose Holding changed
+	Joined     model.MemberID      // the member that was added, if any
+	Members    bool                // a member was added or removed
+	Renewed    model.MemberID      // the member whose lease was renewed
+}
+
+// State is the fold of the members stream. It depends on the records and
+// their offsets only, so it is equal in every process that has applied as far.
+type State struct {
+	next       uint64
+	members    map[model.MemberID]*Member
+	partitions map[model.PartitionID]Holding
+	skipped    uint64
+}
+
+// NewState returns the empty state before the record at next.
+func NewState(next uint64) *State {
+	return &State{
+		next:       next,
+		members:    make(map[model.MemberID]*Member),
+		partitions: make(map[model.PartitionID]Holding),
+	}
+}
+
+// Next returns the offset after the last applied record.
+func (s *State) Next() uint64 { return s.next }
+
+// Skipped returns how many records could not be read or are of a newer
+// version.
+func (s *State) Skipped() uint64 { return s.skipped }
+
+// Member returns the member with the id.
+func (s *State) Member(id model.MemberID) (Member, bool) {
+	m, ok := s.members[id]
+	if !ok {
+		return Member{}, false
+	}
+	return *m, true
+}
+
+// Members returns all members sorted by id.
+func (s *State) Members() []Member {
+	members := make([]Member, 0, len(s.members))
+	for _, m := range s.members {
+		members = append(members, *m)
+	}
+	slices.SortFunc(members, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return members
+}
+
+// Holding returns who holds the partition; the zero value for an unknown one.
+func (s *State) Holding(p model.PartitionID) Holding { return s.partitions[p] }
+
+// Owner returns the peer address of the partition's holder and its epoch.
+func (s *State) Owner(p model.PartitionID) (address string, epoch model.Epoch, ok bool) {
+	h := s.partitions[p]
+	m := s.members[h.Owner]
+	if m == nil {
+		return "", 0, false
+	}
+	return m.Address, h.Epoch, true
+}
+
+// Partitions returns the ids of all known partitions, sorted.
+func (s *State) Partitions() []model.PartitionID {
+	ids := make([]model.PartitionID, 0, len(s.partitions))
+	for p := range s.partitions {
+		ids = append(ids, p)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// HeldBy returns what the member holds.
+func (s *State) HeldBy(id model.MemberID) map[model.PartitionID]model.Epoch {
+	held := make(map[model.PartitionID]model.Epoch)
+	for p, h := range s.partitions {
+		if h.Owner == id {
+			held[p] = h.Epoch
+		}
+	}
+	return held
+}
+
+// Decode reads a record. It returns nil for records that are malformed or of
+// a newer version; Apply skips and counts those.
+func Decode(data []byte) *logpb.MembersRecord {
+	record := &logpb.MembersRecord{}
+	if err := proto.Unmarshal(data, record); err != nil {
+		return nil
+	}
+	if record.GetVersion() > RecordVersion {
+		return nil
+	}
+	return record
+}
+
+// Apply folds the record at the offset into the state. Records before Next
+// are ignored, so that reading a stretch twice does no harm.
+func (s *State) Apply(offset uint64, record *logpb.MembersRecord) Change {
+	if offset < s.next {
+		return Change{}
+	}
+	s.next = offset + 1
+	var change Change
+	switch body := record.GetBody().(type) {
+	case *logpb.MembersRecord_Join:
+		s.applyJoin(offset, body.Join, &change)
+	case *logpb.MembersRecord_Renewal:
+		s.applyRenewal(offset, body.Renewal, &change)
+	case *logpb.MembersRecord_Claim:
+		s.applyClaim(offset, body.Claim, &change)
+	case *logpb.MembersRecord_Release:
+		s.applyRelease(offset, body.Release, &change)
+	case *logpb.MembersRecord_Leave:
+		s.remove(model.MemberID(body.Leave.GetMember()), &change)
+	case *logpb.MembersRecord_Checkpoint:
+	default:
+		s.skipped++
+	}
+	return change
+}
--- /dev/null
+++ b/internal/core/ownership/state_test.go
@@ -0,0 +1,246 @@
+package ownership
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+)
+
+// naiveFold answers every question by reading the whole history again.
+type naiveFold struct {
+	records []*logpb.MembersRecord
+}
+
+// owner replays the history for a single partition.
+func (n naiveFold) owner(p model.PartitionID) Holding {
+	var h Holding
+	for offset, record := range n.records {
+		before := naiveFold{n.records[:offset]}
+		switch {
+		case record.GetClaim() != nil:
+			h = before.afterClaim(record.GetClaim(), offset, p, h)
+		case record.GetRelease() != nil:
+			h = before.afterRelease(record.GetRelease(), offset, p, h)
+		case record.GetLeave() != nil && record.GetLeave().GetMember() == string(h.Owner):
+			h.Owner = ""
+		}
+	}
+	return h
+}
+
+func (n naiveFold) afterClaim(claim *logpb.Claim, offset int, p model.PartitionID, h Holding) Holding {
+	if _, ok := n.renewal(claim.GetMember()); !ok {
+		return h
+	}
+	for _, c := range claim.GetPartitions() {
+		if c.GetPartition() != string(p) || c.GetEpoch() != uint64(h.Epoch) {
+			continue
+		}
+		last, _ := n.renewal(string(h.Owner))
+		if h.Owner == "" || (c.GetHolder() == string(h.Owner) && c.GetHolderRenewal() == last) {
+			h = Holding{model.MemberID(claim.GetMember()), model.Epoch(offset)}
+		}
+	}
+	for _, l := range claim.GetLapsed() {
+		last, ok := n.renewal(l.GetMember())
+		if ok && last == l.GetRenewal() && l.GetMember() == string(h.Owner) && l.GetMember() != claim.GetMember() {
+			h.Owner = ""
+		}
+	}
+	return h
+}
+
+func (n naiveFold) afterRelease(release *logpb.Release, offset int, p model.PartitionID, h Holding) Holding {
+	for _, r := range release.GetPartitions() {
+		if r.GetPartition() != string(p) || release.GetMember() != string(h.Owner) ||
+			r.GetEpoch() != uint64(h.Epoch) || h.Owner == "" {
+			continue
+		}
+		if _, ok := n.renewal(r.GetTo()); ok {
+			h = Holding{model.MemberID(r.GetTo()), model.Epoch(offset)}
+		} else if r.GetForget() {
+			h = Holding{}
+		} else {
+			h.Owner = ""
+		}
+	}
+	return h
+}
+
+// renewal returns the last renewal of a member, if it is one.
+func (n naiveFold) renewal(member string) (last uint64, ok bool) {
+	for offset, record := range n.records {
+		switch {
+		case record.GetJoin() != nil && record.GetJoin().GetMember() == member && !ok:
+			last, ok = uint64(offset), member != ""
+		case record.GetRenewal() != nil && record.GetRenewal().GetMember() == member && ok:
+			last = uint64(offset)
+		case record.GetLeave() != nil && record.GetLeave().GetMember() == member:
+			ok = false
+		case record.GetClaim() != nil:
+			claimer := record.GetClaim().GetMember()
+			if _, live := (naiveFold{n.records[:offset]}).renewal(claimer); !live || claimer == member {
+				continue
+			}
+			for _, l := range record.GetClaim().GetLapsed() {
+				ok = ok && (l.GetMember() != member || l.GetRenewal() != last)
+			}
+		}
+	}
+	return last, ok
+}
+
+var (
+	someMembers    = []string{"a", "b", "c"}
+	somePartitions = []string{"system", "rack/1", "rack/2"}
+)
+
+// drawRecord draws a record; most claims and releases name the true state, so
+// that many of them stand.
+func drawRecord(t *rapid.T, s *State) *logpb.MembersRecord {
+	member := rapid.SampledFrom(someMembers).Draw(t, "member")
+	other := rapid.SampledFrom(someMembers).Draw(t, "other")
+	p := rapid.SampledFrom(somePartitions).Draw(t, "partition")
+	off := uint64(max(0, rapid.IntRange(-4, 1).Draw(t, "off")))
+	h := s.Holding(model.PartitionID(p))
+	holder, _ := s.Member(h.Owner)
+	lapsed, _ := s.Member(model.MemberID(other))
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0, 1:
+		return Record("", &logpb.Join{Member: member, Address: member})
+	case 2, 3:
+		return Record("", &logpb.Renewal{Member: member, ReadNext: s.Next()})
+	case 4, 5, 6:
+		claim := &logpb.Claim{Member: member, Partitions: []*logpb.PartitionClaim{{
+			Partition: p, Epoch: uint64(h.Epoch), Holder: string(h.Owner), HolderRenewal: holder.Renewed + off,
+		}}}
+		if rapid.Bool().Draw(t, "removes") {
+			claim.Lapsed = []*logpb.LapsedMember{{Member: other, Renewal: lapsed.Renewed + off}}
+		}
+		return Record("", claim)
+	case 7, 8:
+		return Record("", &logpb.Release{Member: string(h.Owner), Partitions: []*logpb.ReleasedPartition{{
+			Partition: p, Epoch: uint64(h.Epoch) + off,
+			To:     rapid.SampledFrom(append(someMembers, "")).Draw(t, "to"),
+			Forget: rapid.Bool().Draw(t, "forget"),
+		}}})
+	default:
+		return Record("", &logpb.Leave{Member: member})
+	}
+}
+
+func TestFoldEqualsNaiveFold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState(0)
+		var naive naiveFold
+		for offset := range rapid.IntRange(1, 40).Draw(t, "records") {
+			record := drawRecord(t, s)
+			s.Apply(uint64(offset), record)
+			naive.records = append(naive.records, record)
+		}
+		for _, p := range somePartitions {
+			id := model.PartitionID(p)
+			require.Equal(t, naive.owner(id), s.Holding(id), p)
+		}
+		for _, m := range someMembers {
+			last, ok := naive.renewal(m)
+			got, member := s.Member(model.MemberID(m))
+			require.Equal(t, ok, member, m)
+			if ok {
+				require.Equal(t, last, got.Renewed, m)
+			}
+		}
+	})
+}
+
+func TestCheckpointReplacesForgottenRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		full := NewState(0)
+		var records []*logpb.MembersRecord
+		count := rapid.IntRange(5, 40).Draw(t, "records")
+		kept := rapid.IntRange(1, count-2).Draw(t, "kept")
+		taken := rapid.IntRange(kept, count-2).Draw(t, "taken")
+		lands := rapid.IntRange(taken+1, count-1).Draw(t, "lands")
+		var checkpoint *logpb.MembersRecord
+		for offset := range count {
+			record := drawRecord(t, full)
+			if offset == taken {
+				checkpoint = Record("", full.Checkpoint())
+			}
+			if offset == lands {
+				record = proto.CloneOf(checkpoint)
+			}
+			full.Apply(uint64(offset), record)
+			records = append(records, record)
+		}
+		replay := NewReplay(uint64(kept))
+		for offset := kept; offset < count; offset++ {
+			replay.Apply(uint64(offset), records[offset])
+		}
+		require.NotNil(t, replay.State())
+		require.True(t, full.Equal(replay.State()))
+	})
+}
+
+func TestCheckpointWithAGapIsNotUsed(t *testing.T) {
+	s := NewState(0)
+	s.Apply(0, Record("", &logpb.Join{Member: "a"}))
+	replay := NewReplay(3) // records 1 and 2 are gone
+	replay.Apply(3, Record("", s.Checkpoint()))
+	assert.Nil(t, replay.State())
+	assert.False(t, replay.AssumeEmpty())
+}
+
+func TestNewerAndBrokenRecordsAreSkippedAndCounted(t *testing.T) {
+	s := NewState(0)
+	newer, err := proto.Marshal(&logpb.MembersRecord{
+		Version: RecordVersion + 1,
+		Body:    &logpb.MembersRecord_Join{Join: &logpb.Join{Member: "a"}},
+	})
+	require.NoError(t, err)
+	s.Apply(0, Decode(newer))
+	s.Apply(1, Decode([]byte{0xff, 0xff}))
+	s.Apply(2, Decode(nil))
+	assert.Equal(t, uint64(3), s.Skipped())
+	assert.Equal(t, uint64(3), s.Next())
+	assert.Empty(t, s.Members())
+}
+
+func FuzzDecodeAndApply(f *testing.F) {
+	s := NewState(0)
+	s.Apply(0, Record("", &logpb.Join{Member: "a"}))
+	for _, body := range []any{
+		&logpb.Join{Member: "a"}, s.Checkpoint(),
+		&logpb.Claim{Member: "a", Partitions: []*logpb.PartitionClaim{{Partition: "system"}}},
+	} {
+		data, err := proto.Marshal(Record("id", body))
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		replay := NewReplay(0)
+		record := Decode(data)
+		for offset := range uint64(3) {
+			replay.Apply(offset, record)
+		}
+		if got := replay.State().Next(); got != 3 {
+			t.Fatalf("next is %d", got)
+		}
+		late := NewReplay(1)
+		late.Apply(1, record)
+		if s := late.State(); s != nil {
+			for _, p := range s.Partitions() {
+				h := s.Holding(p)
+				if _, ok := s.Member(h.Owner); h.Owner != "" && !ok {
+					t.Fatalf("%s has an unknown holder", p)
+				}
+			}
+		}
+	})
+}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -38,7 +38,8 @@
 	// After an error the records may or may not be on the log.
 	Append(ctx context.Context, stream string, records [][]byte) (uint64, error)
 	// Read returns up to limit records at or after from. It waits up to wait
-	// for the first one.
+	// for the first one. With an error of type LogTruncated the batch still
+	// states Earliest.
 	Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Batch, error)
 }
 
