Run jobs end to end in virtual time and judge them by their history

Cause: a silent worker's leases never ran out for certain: heartbeats without an answer went on extending what it might have been granted. Ruled out: the report loop and the team's requeue; the rack never freed them. Change: heartbeats to a silent worker no longer renew; eleven tests with two racks, stand-in workers, owners that die, lost answers and a log outage. Conclusion: adoption, limits and ends hold in these cases.

--- /dev/null
+++ b/internal/app/jobtest/cell_test.go
@@ -0,0 +1,373 @@
+// Package jobtest runs team and rack owners together with stand-in workers in
+// virtual time and judges each run by the history checker.
+package jobtest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/host"
+	"github.com/balsamhitch/balsamhitch/internal/app/journal"
+	"github.com/balsamhitch/balsamhitch/internal/app/rackowner"
+	"github.com/balsamhitch/balsamhitch/internal/app/teamowner"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/history"
+	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
+	"github.com/balsamhitch/balsamhitch/internal/standin/worker"
+)
+
+const (
+	testTeam   = model.TeamID("layouts")
+	workersPer = 2 // of each rack
+	racks      = 2
+	poolSize   = 200
+)
+
+// holder is a partition and the process that runs it.
+type holder struct {
+	partition host.Partition
+	epoch     model.Epoch
+	address   string
+	journal   *journal.Journal
+	stop      context.CancelFunc
+	lost      bool
+}
+
+// cell is a whole cell without entries: fakes stand for ownership and
+// configuration.
+type cell struct {
+	t       *testing.T
+	log     *porttest.MemLog
+	logs    *porttest.MemClient
+	peers   *porttest.Peers
+	pool    *ants.Pool
+	logger  *logrus.Entry
+	history *history.Recorder
+
+	mu       sync.Mutex
+	workers  map[string]*worker.Worker // by address
+	vms      []model.VM
+	holders  map[model.PartitionID]*holder
+	template model.WorkspaceTemplate
+	out      map[model.FailureDomain]bool
+	silent   map[string]bool // addresses that do not answer
+	loseNext int             // starts whose answer is lost
+	epoch    model.Epoch
+	calls    int
+}
+
+func newCell(t *testing.T) *cell {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	pool, err := ants.NewPool(poolSize, ants.WithDisablePurge(true))
+	require.NoError(t, err)
+	log := porttest.NewMemLog()
+	c := &cell{
+		t:       t,
+		log:     log,
+		logs:    log.Client(nil),
+		peers:   porttest.NewPeers(),
+		pool:    pool,
+		logger:  logrus.NewEntry(logger),
+		history: &history.Recorder{},
+		workers: map[string]*worker.Worker{},
+		holders: map[model.PartitionID]*holder{},
+		out:     map[model.FailureDomain]bool{},
+		silent:  map[string]bool{},
+		template: model.WorkspaceTemplate{
+			Team:       testTeam,
+			Kinds:      []model.WorkKind{model.WorkBatch, model.WorkGang},
+			Share:      1,
+			UpperLimit: model.Resources{MilliCPU: 6000, MemoryMiB: 1 << 20},
+			MaxQueued:  10000,
+		},
+		epoch: 10,
+	}
+	c.peers.SetDelay(time.Millisecond)
+	c.history.Add(history.Event{Kind: history.LimitSet, Team: testTeam, Size: c.template.UpperLimit})
+	for r := range racks {
+		for w := range workersPer {
+			c.addWorker(r, w)
+		}
+	}
+	for r := range racks {
+		c.take(model.RackPartition(fmt.Sprint("r", r)))
+	}
+	c.take(model.TeamPartition(testTeam))
+	t.Cleanup(pool.Release)
+	return c
+}
+
+func (c *cell) addWorker(rack, index int) {
+	id := fmt.Sprintf("vm-%d-%d", rack, index)
+	vm := model.VM{
+		ID: model.VMID(id), Role: model.RoleWorker, Address: id,
+		FailureDomain: model.FailureDomain(fmt.Sprint("d", rack)), Rack: fmt.Sprint("r", rack),
+		Capacity: model.Resources{MilliCPU: 4000, MemoryMiB: 4096},
+	}
+	c.vms = append(c.vms, vm)
+	c.workers[id] = worker.New(worker.Options{
+		VM:          vm,
+		ClockOffset: time.Duration(rack+index) * time.Hour,
+		History:     c.history,
+		Progress:    worker.NewProgress(),
+	})
+}
+
+// take gives the partition to a new process, whose claim the former holder
+// has not heard of.
+func (c *cell) take(id model.PartitionID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.epoch++
+	ctx, stop := context.WithCancel(context.Background())
+	h := &holder{
+		epoch:   c.epoch,
+		address: fmt.Sprintf("%s@%d", id, c.epoch),
+		stop:    stop,
+		journal: journal.New(c.logs, c.logger),
+	}
+	e := &env{cell: c, holder: h, id: id, clock: porttest.NewClock(nil, time.Duration(c.epoch)*time.Minute, 0)}
+	if id.Kind() == model.KindRack {
+		h.partition = rackowner.New(id, h.epoch, e, rackowner.Options{Worker: c, Pool: c.pool, Logger: c.logger})
+	} else {
+		go func() { _ = h.journal.Run(ctx) }()
+		h.partition = teamowner.New(id, h.epoch, e, teamowner.Options{Journal: h.journal, Pool: c.pool, Logger: c.logger})
+	}
+	c.peers.Attach(h.address, h.partition)
+	c.holders[id] = h
+	go h.partition.Run(ctx)
+}
+
+// kill ends the process that holds the partition.
+func (c *cell) kill(id model.PartitionID) {
+	c.mu.Lock()
+	h := c.holders[id]
+	h.lost = true
+	c.mu.Unlock()
+	c.peers.Attach(h.address, nil)
+	h.stop()
+}
+
+// stop ends everything, so that the bubble can end.
+func (c *cell) stop() {
+	for id := range c.holders {
+		c.kill(id)
+	}
+}
+
+func (c *cell) ask(id model.PartitionID, request *peerpb.Request) (*peerpb.Response, error) {
+	c.mu.Lock()
+	address := c.holders[id].address
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return c.peers.Client("caller", nil).Call(ctx, address, request)
+}
+
+// submit hands in a job and returns its id.
+func (c *cell) submit(job model.Job) model.JobID {
+	c.t.Helper()
+	c.calls++
+	call := fmt.Sprint("call-", c.calls)
+	job.ID = model.JobID(ulid.Make().String())
+	job.Team = testTeam
+	response, err := c.ask(model.TeamPartition(testTeam), &peerpb.Request{
+		Body: &peerpb.Request_SubmitJob{SubmitJob: &peerpb.SubmitJob{Job: convert.JobPB(job)}},
+	})
+	require.NoError(c.t, err)
+	reply := response.GetSubmitJob()
+	require.Nil(c.t, reply.GetRefusal(), "%v", reply.GetRefusal())
+	c.history.Add(history.Event{
+		Kind: history.Accepted, Call: call, Job: model.JobID(reply.GetJobId()), Team: testTeam,
+		Tasks: job.Tasks, NonIdempotent: job.NonIdempotent,
+	})
+	return model.JobID(reply.GetJobId())
+}
+
+func (c *cell) status(id model.JobID) *peerpb.JobStatus {
+	response, err := c.ask(model.TeamPartition(testTeam), &peerpb.Request{
+		Body: &peerpb.Request_GetJob{GetJob: &peerpb.GetJob{Team: string(testTeam), JobId: string(id)}},
+	})
+	if err != nil {
+		return &peerpb.JobStatus{}
+	}
+	return response.GetJobStatus()
+}
+
+// await polls a job until it has the state, for at most the limit of virtual
+// time.
+func (c *cell) await(id model.JobID, state string, limit time.Duration) {
+	c.t.Helper()
+	var last *peerpb.JobStatus
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if last = c.status(id); last.GetState() == state {
+			return
+		}
+	}
+	require.Failf(c.t, "job did not reach its state", "want %s, have %v", state, last)
+}
+
+// judge fails the test for every broken promise.
+func (c *cell) judge() {
+	c.t.Helper()
+	for _, broken := range history.Check(c.history.Since(0), history.Options{Unfinished: true}) {
+		c.t.Error(broken)
+	}
+}
+
+// starts counts the recorded starts of a job's tasks.
+func (c *cell) starts(id model.JobID) int {
+	count := 0
+	for _, e := range c.history.Since(0) {
+		if e.Kind == history.TaskStart && e.Job == id {
+			count++
+		}
+	}
+	return count
+}
+
+// Heartbeat, Start and Act reach the stand-in workers.
+
+func (c *cell) reach(address string) (*worker.Worker, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.silent[address] {
+		return nil, porttest.PeerFailed.New("%s does not answer", address)
+	}
+	return c.workers[address], nil
+}
+
+func (c *cell) Heartbeat(ctx context.Context, address string, beat port.Heartbeat) (port.WorkerReport, error) {
+	w, err := c.reach(address)
+	if err != nil {
+		return port.WorkerReport{}, err
+	}
+	return w.Heartbeat(ctx, beat)
+}
+
+func (c *cell) Start(ctx context.Context, address string, start port.StartTask) error {
+	w, err := c.reach(address)
+	if err != nil {
+		return err
+	}
+	err = w.Start(ctx, start)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loseNext > 0 {
+		c.loseNext--
+		return porttest.PeerFailed.New("the answer was lost")
+	}
+	return err
+}
+
+func (c *cell) Act(ctx context.Context, address string, attempt port.TaskAttempt, epoch model.Epoch, action port.TaskAction) error {
+	w, err := c.reach(address)
+	if err != nil {
+		return err
+	}
+	return w.Act(ctx, attempt, epoch, action)
+}
+
+// env is the environment of one holder.
+type env struct {
+	cell   *cell
+	holder *holder
+	id     model.PartitionID
+	clock  port.Clock
+}
+
+func (e *env) Owner(id model.PartitionID) (string, model.Epoch, bool) {
+	e.cell.mu.Lock()
+	defer e.cell.mu.Unlock()
+	h := e.cell.holders[id]
+	if h == nil {
+		return "", 0, false
+	}
+	return h.address, h.epoch, true
+}
+
+func (e *env) MayAct(model.PartitionID, model.Epoch) bool {
+	e.cell.mu.Lock()
+	defer e.cell.mu.Unlock()
+	return !e.holder.lost
+}
+
+func (e *env) Config() host.Config { return (*configView)(e.cell) }
+
+func (e *env) ConfigFresh() bool { return true }
+
+func (e *env) VMs() []model.VM {
+	e.cell.mu.Lock()
+	defer e.cell.mu.Unlock()
+	return append([]model.VM(nil), e.cell.vms...)
+}
+
+func (e *env) Summaries(kind model.PartitionKind) []*peerpb.PartitionSummary {
+	e.cell.mu.Lock()
+	holders := make([]*holder, 0, len(e.cell.holders))
+	for id, h := range e.cell.holders {
+		if id.Kind() == kind && !h.lost {
+			holders = append(holders, h)
+		}
+	}
+	e.cell.mu.Unlock()
+	var found []*peerpb.PartitionSummary
+	for _, h := range holders {
+		if summary := h.partition.Summary(); summary != nil {
+			found = append(found, summary)
+		}
+	}
+	return found
+}
+
+func (e *env) Peer() port.Peer { return e.cell.peers.Client(e.holder.address, nil) }
+
+func (e *env) Clock() port.Clock { return e.clock }
+
+// configView is the cell's configuration.
+type configView cell
+
+func (v *configView) Revision() uint64 { return 1 }
+
+func (v *configView) Template(model.TeamID) (model.WorkspaceTemplate, bool) {
+	c := (*cell)(v)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.template, true
+}
+
+func (v *configView) Teams() []model.TeamID { return []model.TeamID{testTeam} }
+
+func (v *configView) DomainOut(domain model.FailureDomain) bool {
+	c := (*cell)(v)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.out[domain]
+}
+
+var (
+	faultsDown = porttest.Faults{Down: true}
+	faultsNone = porttest.Faults{}
+)
+
+// cancel cancels a job.
+func (c *cell) cancel(id model.JobID) {
+	_, err := c.ask(model.TeamPartition(testTeam), &peerpb.Request{
+		Body: &peerpb.Request_CancelJob{CancelJob: &peerpb.CancelJob{Team: string(testTeam), JobId: string(id)}},
+	})
+	require.NoError(c.t, err)
+}
--- /dev/null
+++ b/internal/app/jobtest/jobs_test.go
@@ -0,0 +1,173 @@
+package jobtest
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/team"
+)
+
+const (
+	rack0 = model.PartitionID("rack/r0")
+	rack1 = model.PartitionID("rack/r1")
+)
+
+var teamPartition = model.TeamPartition(testTeam)
+
+// run runs the body on a fresh cell in virtual time and judges its history.
+func run(t *testing.T, body func(c *cell)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t)
+		defer c.stop()
+		time.Sleep(time.Second)
+		body(c)
+		c.judge()
+	})
+}
+
+func batch(tasks int, runTime time.Duration) model.Job {
+	return model.Job{
+		Kind:        model.WorkBatch,
+		Tasks:       tasks,
+		Size:        model.Resources{MilliCPU: 1000, MemoryMiB: 256},
+		ExpectedRun: runTime,
+	}
+}
+
+func TestBatchRunsToItsEndWithinTheUpperLimit(t *testing.T) {
+	run(t, func(c *cell) {
+		id := c.submit(batch(30, 200*time.Millisecond))
+		c.await(id, team.JobDone, 10*time.Second)
+		assert.Equal(t, 30, c.starts(id))
+	})
+}
+
+func TestGangStartsAsAWhole(t *testing.T) {
+	run(t, func(c *cell) {
+		job := batch(6, 300*time.Millisecond)
+		job.Kind = model.WorkGang
+		id := c.submit(job)
+		c.await(id, team.JobDone, 10*time.Second)
+		assert.Equal(t, 6, c.starts(id))
+	})
+}
+
+func TestTeamOwnerDiesWhileTasksRun(t *testing.T) {
+	run(t, func(c *cell) {
+		id := c.submit(batch(20, 500*time.Millisecond))
+		time.Sleep(300 * time.Millisecond)
+		c.kill(teamPartition)
+		time.Sleep(2 * time.Second)
+		c.take(teamPartition)
+		c.await(id, team.JobDone, 20*time.Second)
+		assert.Equal(t, 20, c.starts(id), "running tasks are adopted, not repeated")
+	})
+}
+
+func TestRackOwnerDiesWhileTasksRun(t *testing.T) {
+	run(t, func(c *cell) {
+		id := c.submit(batch(20, 3*time.Second))
+		time.Sleep(300 * time.Millisecond)
+		c.kill(rack0)
+		time.Sleep(2 * time.Second)
+		c.take(rack0)
+		c.await(id, team.JobDone, 60*time.Second)
+		assert.Equal(t, 20, c.starts(id), "running tasks are adopted, not repeated")
+	})
+}
+
+func TestBothOwnersDieAtOnce(t *testing.T) {
+	run(t, func(c *cell) {
+		job := batch(12, 2*time.Second)
+		job.NonIdempotent = true
+		id := c.submit(job)
+		time.Sleep(300 * time.Millisecond)
+		for _, partition := range []model.PartitionID{teamPartition, rack0, rack1} {
+			c.kill(partition)
+		}
+		time.Sleep(2 * time.Second)
+		for _, partition := range []model.PartitionID{teamPartition, rack0, rack1} {
+			c.take(partition)
+		}
+		c.await(id, team.JobDone, 60*time.Second)
+		assert.Equal(t, 12, c.starts(id))
+	})
+}
+
+func TestLostStartAnswersDoNotStartTwice(t *testing.T) {
+	run(t, func(c *cell) {
+		c.mu.Lock()
+		c.loseNext = 4
+		c.mu.Unlock()
+		id := c.submit(batch(10, 500*time.Millisecond))
+		c.await(id, team.JobDone, 20*time.Second)
+		assert.Equal(t, 10, c.starts(id))
+	})
+}
+
+func TestSilentWorkerKeepsItsTasksUntilItsLeasesHaveRunOut(t *testing.T) {
+	run(t, func(c *cell) {
+		id := c.submit(batch(6, 4*time.Second))
+		time.Sleep(500 * time.Millisecond)
+		c.mu.Lock()
+		c.silent["vm-0-0"] = true
+		c.mu.Unlock()
+		// The worker itself still runs its tasks: a second start of one before
+		// its lease has run out would show in the history.
+		c.await(id, team.JobDone, 60*time.Second)
+	})
+}
+
+func TestNoStartInAFailureDomainThatIsOut(t *testing.T) {
+	run(t, func(c *cell) {
+		c.mu.Lock()
+		c.out["d0"] = true
+		c.mu.Unlock()
+		id := c.submit(batch(10, 200*time.Millisecond))
+		c.await(id, team.JobDone, 20*time.Second)
+		for _, e := range c.history.Since(0) {
+			if e.Job == id {
+				assert.NotEqual(t, model.FailureDomain("d0"), e.Domain)
+			}
+		}
+	})
+}
+
+func TestEndsWaitForTheLogDuringAnOutage(t *testing.T) {
+	run(t, func(c *cell) {
+		id := c.submit(batch(8, 500*time.Millisecond))
+		c.logs.SetFaults(faultsDown)
+		time.Sleep(30 * time.Second)
+		c.logs.SetFaults(faultsNone)
+		time.Sleep(5 * time.Second)
+		// The new owner learns the ends from the journal alone.
+		c.kill(teamPartition)
+		c.take(teamPartition)
+		c.await(id, team.JobDone, 20*time.Second)
+		assert.Equal(t, 8, c.starts(id))
+	})
+}
+
+func TestCancelledJobStops(t *testing.T) {
+	run(t, func(c *cell) {
+		id := c.submit(batch(20, time.Hour))
+		time.Sleep(500 * time.Millisecond)
+		c.cancel(id)
+		c.await(id, team.JobCancelled, 10*time.Second)
+	})
+}
+
+func TestJobThatFailsEverywhereEnds(t *testing.T) {
+	run(t, func(c *cell) {
+		job := batch(2, 100*time.Millisecond)
+		job.Payload = []byte(`{"fail":true}`)
+		id := c.submit(job)
+		c.await(id, team.JobFailed, 20*time.Second)
+		assert.Equal(t, 6, c.starts(id), "three tries for each task")
+	})
+}
--- /dev/null
+++ b/internal/app/probe/probe.go
@@ -0,0 +1,55 @@
+// Package probe serves a program's health, readiness and metrics over HTTP.
+package probe
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/zeebo/errs"
+)
+
+// Server serves /healthz, /readyz and /metrics.
+type Server struct {
+	http *server.Hertz
+}
+
+// New returns a server on the address; ready tells whether the program takes
+// part.
+func New(address string, ready func() bool) *Server {
+	hlog.SetLevel(hlog.LevelError)
+	h := server.New(
+		server.WithHostPorts(address),
+		server.WithDisablePrintRoute(true),
+	)
+	s := &Server{http: h}
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) {
+		c.String(http.StatusOK, "ok\n")
+	})
+	h.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
+		if !ready() {
+			c.String(http.StatusServiceUnavailable, "not ready\n")
+			return
+		}
+		c.String(http.StatusOK, "ready\n")
+	})
+	h.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
+		c.SetContentType("text/plain; charset=utf-8")
+		metrics.WritePrometheus(c.Response.BodyWriter(), true)
+	})
+	return s
+}
+
+// Run serves until Shutdown. It returns an error when the address cannot be
+// listened on.
+func (s *Server) Run() error {
+	return errs.Wrap(s.http.Run())
+}
+
+// Shutdown stops serving.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return errs.Wrap(s.http.Shutdown(ctx))
+}
--- a/internal/app/rackowner/vm.go
+++ b/internal/app/rackowner/vm.go
@@ -149,7 +149,9 @@
 		}
 		state.beating = true
 		beat := port.Heartbeat{Epoch: o.epoch, Acknowledged: state.acks}
-		if state.heard {
+		// A worker that does not answer may still hear: renewing its leases
+		// would put off the time at which they have certainly run out.
+		if state.heard && !state.silent {
 			beat.LeaseUntil = state.estimate(now) + o.lease
 			state.until = max(state.until, beat.LeaseUntil)
 		}
