Stop a bad-frame test at its first wrong answer

Cause: with the version check removed the test waited for a close that never came and ended by its timeout of 60 s. The first wrong answer now ends it; nothing else about it changed.

--- a/internal/adapter/peer/peer_test.go
+++ b/internal/adapter/peer/peer_test.go
@@ -201,7 +201,7 @@
 			reader := bufio.NewReader(stream)
 			frame, err := readFrame(reader, defaultMaxFrame)
 			require.NoError(t, err)
-			assert.Contains(t, frame.GetError(), "bad peer frame")
+			require.Contains(t, frame.GetError(), "bad peer frame")
 			_, err = readFrame(reader, defaultMaxFrame)
 			assert.Error(t, err, "the connection must be closed")
 			assert.Equal(t, uint64(1), server.counters.badFrames.Get())
