Wait for unreported racks after a takeover; restart gangs as a whole

Cause: a new team owner offered journalled tasks while a rack without an owner still ran them, hidden by upper limits small enough to block it; and a gang that lost a member kept the rest of its capacity for as long as it waited. Ruled out: the limit's hidden use as a guard; it counts amounts, not tasks. Change: restored jobs wait until every partition has reported; the rest of a gang is stopped when one member is lost and it starts again only whole.

--- a/internal/app/jobtest/cell_test.go
+++ b/internal/app/jobtest/cell_test.go
@@ -371,3 +371,57 @@
 	})
 	require.NoError(c.t, err)
 }
+
+// vmOf returns a worker that started a task of the job.
+func (c *cell) vmOf(id model.JobID) string {
+	for _, e := range c.history.Since(0) {
+		if e.Kind == history.TaskStart && e.Job == id {
+			return string(e.VM)
+		}
+	}
+	return ""
+}
+
+// gangSlack is the time within which the members of a gang must start and
+// within which they must be stopped once one of them is lost.
+const gangSlack = 12 * time.Second
+
+// checkGangWhole fails if a part of the gang ran alone for longer than the
+// slack.
+func (c *cell) checkGangWhole(id model.JobID, size int) {
+	c.t.Helper()
+	running := 0
+	var since time.Time
+	for _, e := range c.history.Since(0) {
+		if e.Job != id || e.Kind != history.TaskStart && e.Kind != history.TaskEnd {
+			continue
+		}
+		if running > 0 && running < size {
+			require.Less(c.t, e.At.Sub(since), gangSlack, "%d of %d members ran alone", running, size)
+		}
+		if e.Kind == history.TaskStart {
+			running++
+		} else {
+			running--
+		}
+		since = e.At
+	}
+}
+
+// setLimit replaces the team's upper limit.
+func (c *cell) setLimit(limit model.Resources) {
+	c.mu.Lock()
+	c.template.UpperLimit = limit
+	c.mu.Unlock()
+	c.history.Add(history.Event{Kind: history.LimitSet, Team: testTeam, Size: limit})
+	time.Sleep(time.Second)
+}
+
+// setGone takes a worker away with its tasks, or brings it back empty.
+func (c *cell) setGone(address string, gone bool) {
+	c.mu.Lock()
+	w := c.workers[address]
+	c.silent[address] = gone
+	c.mu.Unlock()
+	w.SetGone(gone)
+}
--- a/internal/app/jobtest/jobs_test.go
+++ b/internal/app/jobtest/jobs_test.go
@@ -171,3 +171,40 @@
 		assert.Equal(t, 6, c.starts(id), "three tries for each task")
 	})
 }
+
+func TestNewTeamOwnerWaitsForARackWithoutOwner(t *testing.T) {
+	run(t, func(c *cell) {
+		c.setLimit(model.Resources{MilliCPU: 1 << 20, MemoryMiB: 1 << 30})
+		id := c.submit(batch(6, 30*time.Second))
+		time.Sleep(500 * time.Millisecond)
+		c.kill(rack0)
+		c.kill(teamPartition)
+		time.Sleep(time.Second)
+		c.take(teamPartition)
+		// The workers of the rack without an owner run on until their leases
+		// end; nobody has told the new team owner of their tasks.
+		time.Sleep(2 * time.Second)
+		fresh := c.submit(batch(1, 100*time.Millisecond))
+		time.Sleep(time.Second)
+		c.take(rack0)
+		c.await(id, team.JobDone, 120*time.Second)
+		c.await(fresh, team.JobDone, 120*time.Second)
+	})
+}
+
+func TestGangIsStartedAgainAsAWholeWhenAMemberIsLost(t *testing.T) {
+	run(t, func(c *cell) {
+		c.setLimit(model.Resources{MilliCPU: 1 << 20, MemoryMiB: 1 << 30})
+		job := batch(racks*workersPer*4, 40*time.Second)
+		job.Kind = model.WorkGang
+		id := c.submit(job)
+		time.Sleep(2 * time.Second)
+		lost := c.vmOf(id)
+		// The gang fills the cell, so it cannot be whole without this worker.
+		c.setGone(lost, true)
+		time.Sleep(20 * time.Second)
+		c.setGone(lost, false)
+		c.await(id, team.JobDone, 300*time.Second)
+		c.checkGangWhole(id, job.Tasks)
+	})
+}
--- a/internal/app/teamowner/owner.go
+++ b/internal/app/teamowner/owner.go
@@ -159,7 +159,7 @@
 	defer o.mu.Unlock()
 	now := o.env.Clock().Now()
 	for _, job := range jobs {
-		o.state.AddJob(job)
+		o.state.Restore(job)
 	}
 	for _, intent := range intents {
 		o.state.AddIntent(intent, now)
--- a/internal/app/teamowner/settle.go
+++ b/internal/app/teamowner/settle.go
@@ -33,9 +33,16 @@
 	o.view = newView(racks, targets, ledger.Epoch)
 	o.state.SetTotal(o.view.total)
 	now := o.env.Clock().Now()
-	for _, id := range ledger.Unsettled() {
+	unsettled := ledger.Unsettled()
+	for _, id := range unsettled {
 		o.query(ctx, id, 0)
 	}
+	if len(unsettled) == 0 && o.state.Recovering() {
+		o.state.Recovered()
+		o.logger.Info("All partitions have reported.")
+	}
+	// Members whose stop is lost run to their end.
+	o.stopTasks(o.state.TakeStops())
 	floor := ledger.OldestUnbound(now - unusedAfter)
 	for _, id := range ledger.PartitionsWithOlder(now - unusedAfter) {
 		o.query(ctx, id, floor)
--- a/internal/core/team/job.go
+++ b/internal/core/team/job.go
@@ -45,6 +45,12 @@
 	notBefore time.Duration // offers wait until then
 	refusals  int           // in a row, for lack of capacity
 	queued    bool          // in the ready queue
+	// restored marks a job of an earlier tenure, whose waiting tasks may run on
+	// a partition that has not reported yet.
+	restored bool
+	// stopping marks a gang that lost a member: the others are stopped before
+	// it starts again as a whole.
+	stopping bool
 }
 
 func newJob(state *journal.JobState) *job {
@@ -112,6 +118,14 @@
 	return j.counts[TaskOffered] + j.counts[TaskRunning]
 }
 
+// offerable reports whether the job's waiting tasks may be offered now.
+func (j *job) offerable(recovering bool, now time.Duration) bool {
+	if j.notBefore > now || j.restored && recovering {
+		return false
+	}
+	return j.Kind != model.WorkGang || j.active() == 0
+}
+
 // finalState returns the state of a job none of whose tasks can change any
 // more, or "" while one can.
 func (j *job) finalState() string {
--- a/internal/core/team/ready.go
+++ b/internal/core/team/ready.go
@@ -24,15 +24,15 @@
 }
 
 // take returns up to limit jobs that may be offered now, in order.
-func (q *readyQueue) take(limit int, now time.Duration) []*job {
+func (q *readyQueue) take(limit int, recovering bool, now time.Duration) []*job {
 	jobs := make([]*job, 0, limit)
-	q.urgent = q.scan(q.urgent, &jobs, limit, now)
-	q.normal = q.scan(q.normal, &jobs, limit, now)
+	q.urgent = q.scan(q.urgent, &jobs, limit, recovering, now)
+	q.normal = q.scan(q.normal, &jobs, limit, recovering, now)
 	return jobs
 }
 
 // scan appends offerable jobs and returns the list without finished ones.
-func (q *readyQueue) scan(list []*job, found *[]*job, limit int, now time.Duration) []*job {
+func (q *readyQueue) scan(list []*job, found *[]*job, limit int, recovering bool, now time.Duration) []*job {
 	dropped := false
 	for i, j := range list {
 		if len(*found) >= limit {
@@ -44,7 +44,7 @@
 			dropped = true
 			continue
 		}
-		if j.notBefore <= now {
+		if j.offerable(recovering, now) {
 			*found = append(*found, j)
 		}
 	}
--- a/internal/core/team/state.go
+++ b/internal/core/team/state.go
@@ -28,6 +28,10 @@
 	ready    readyQueue
 	waiting  int // tasks that wait
 	outbox   outbox
+	toStop   []string // permits of gang members that must be stopped
+	// recovering is true until every partition has told what it runs for
+	// earlier tenures.
+	recovering bool
 }
 
 // New returns the state of a new tenure. Jobs follow by AddJob, use by the
@@ -41,9 +45,31 @@
 		jobs:     map[model.JobID]*job{},
 		byKey:    map[string]model.JobID{},
 		outbox:   newOutbox(team),
+
+		recovering: true,
+	}
+}
+
+// Restore takes a job of an earlier tenure over from the journal. Its tasks
+// are not offered before Recovered, because they may run already.
+func (s *State) Restore(state *journal.JobState) {
+	s.AddJob(state)
+	if j := s.jobs[state.Job.ID]; j != nil {
+		j.restored = true
 	}
 }
 
+// Recovered tells that every partition has reported what it runs for earlier
+// tenures.
+func (s *State) Recovered() {
+	s.recovering = false
+}
+
+// Recovering reports whether Recovered has not been called.
+func (s *State) Recovering() bool {
+	return s.recovering
+}
+
 // SetTemplate puts a revised template in force.
 func (s *State) SetTemplate(template model.WorkspaceTemplate) {
 	s.template = template
--- a/internal/core/team/tasks.go
+++ b/internal/core/team/tasks.go
@@ -28,7 +28,7 @@
 // whose start deadline has passed are ended as not run.
 func (s *State) Candidates(limit int, now time.Duration, wall time.Time) []Candidate {
 	var found []Candidate
-	for _, j := range s.ready.take(limit, now) {
+	for _, j := range s.ready.take(limit, s.recovering, now) {
 		if s.endIfLate(j, wall) {
 			continue
 		}
@@ -62,6 +62,9 @@
 	if err != nil {
 		return TaskOffer{}, err
 	}
+	if j.active() == 0 {
+		j.stopping = false
+	}
 	index := j.waiting[len(j.waiting)-1]
 	j.waiting = j.waiting[:len(j.waiting)-1]
 	s.waiting--
@@ -88,6 +91,9 @@
 	if j.tasks[index].state == TaskOffered {
 		j.set(index, TaskRunning)
 	}
+	if j.stopping {
+		s.toStop = append(s.toStop, permitID)
+	}
 }
 
 // Refused takes back an offer that has certainly not started. With backoff the
@@ -264,6 +270,36 @@
 	j.set(index, TaskWaiting)
 	s.waiting++
 	s.ready.push(j)
+	s.stopRest(j)
+}
+
+// stopRest stops the other members of a gang that lost one, so that it does
+// not hold capacity while it waits to start again as a whole.
+func (s *State) stopRest(j *job) {
+	if j.Kind != model.WorkGang {
+		return
+	}
+	if j.active() == 0 {
+		j.stopping = false
+		return
+	}
+	if j.stopping {
+		return
+	}
+	j.stopping = true
+	for i := range j.tasks {
+		if j.tasks[i].state == TaskRunning {
+			s.toStop = append(s.toStop, j.tasks[i].permit)
+		}
+	}
+}
+
+// TakeStops returns the permits of gang members that must be stopped and
+// forgets them.
+func (s *State) TakeStops() []string {
+	stops := s.toStop
+	s.toStop = nil
+	return stops
 }
 
 func (s *State) finishTask(j *job, index int, state TaskState, detail string) {
