Add process scaffolding and a recording caller

Process tests and the demonstration both need real programs that leave nothing behind, links that can be cut, and callers whose view is recorded for the history checker. Processes run in groups of their own and are started from one locked thread, because Linux sends the parent-death signal when the starting thread ends; a plain goroutine could lose its thread and its children with it.

--- /dev/null
+++ b/internal/caller/quick.go
@@ -0,0 +1,84 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/history"
+	"github.com/balsamhitch/balsamhitch/internal/standin/runner"
+)
+
+// Headers of the callers' API.
+const (
+	headerKey           = "Idempotency-Key"
+	headerService       = "Balsam-Service"
+	headerDeadline      = "Balsam-Deadline"
+	headerNonIdempotent = "Balsam-Non-Idempotent"
+)
+
+// Quick is one quick request.
+type Quick struct {
+	Call          string // unique; also the idempotency key
+	Credential    Credential
+	Service       model.ServiceID
+	Deadline      time.Duration
+	NonIdempotent bool
+	RunMS         int64
+	ReplyBytes    int
+}
+
+// Quick sends the request until it is answered.
+func (c *Caller) Quick(ctx context.Context, q Quick) Result {
+	ctx, cancel := context.WithTimeout(ctx, q.Deadline+patience)
+	defer cancel()
+	body, err := json.Marshal(runner.Payload{Call: q.Call, RunMS: q.RunMS, ReplyBytes: q.ReplyBytes})
+	if err != nil {
+		return Result{Detail: err.Error()}
+	}
+	sent := history.Event{
+		Call: q.Call, Team: q.Credential.Team, Key: q.Credential.Name, NonIdempotent: q.NonIdempotent, Quick: true,
+	}
+	build := func(base string) (*http.Request, error) { return q.request(base, body) }
+	return c.send(ctx, sent, build, func(answered history.Event, result Result) {
+		answered.Whole, answered.BodyCall = q.check(result)
+		c.recorder.Add(answered)
+	})
+}
+
+func (q Quick) request(base string, body []byte) (*http.Request, error) {
+	url := base + "/v1/workspaces/" + string(q.Credential.Team) + "/requests"
+	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	authorize(request, q.Credential, q.Call)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(headerService, string(q.Service))
+	request.Header.Set(headerDeadline, q.Deadline.String())
+	if q.NonIdempotent {
+		request.Header.Set(headerNonIdempotent, "true")
+	}
+	return request, nil
+}
+
+// check tells whether the answer is whole and which call its body names.
+func (q Quick) check(result Result) (whole bool, call string) {
+	var reply runner.Reply
+	if json.Unmarshal(result.body, &reply) != nil {
+		return false, ""
+	}
+	return len(reply.Padding) == q.ReplyBytes, reply.Call
+}
+
+func authorize(request *http.Request, credential Credential, call string) {
+	if credential.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+credential.Token)
+	}
+	if call != "" {
+		request.Header.Set(headerKey, call)
+	}
+}
--- /dev/null
+++ b/internal/proctest/cluster.go
@@ -0,0 +1,259 @@
+package proctest
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/standin/cell"
+	"github.com/balsamhitch/balsamhitch/internal/standin/vmlist"
+)
+
+// Ports of the programs on each loopback address.
+const (
+	peerPort         = "7100"
+	callerPort       = "8080"
+	schedMetricsPort = "9100"
+	entryMetricsPort = "9101"
+)
+
+const (
+	// startTimeout bounds the start of one program on a busy machine.
+	startTimeout = time.Minute
+	ctlTimeout   = 2 * time.Minute
+	logLines     = 30
+)
+
+// ClusterOptions sets up a cluster.
+type ClusterOptions struct {
+	Binaries string // directory with the built programs
+	Dir      string // for settings and output; must exist
+	EntryVMs int
+	Cell     cell.Config
+	// Relayed puts a relay between each entry VM and the log service.
+	Relayed bool
+}
+
+// Cluster is a cell's platform and the system's programs on entry VMs of
+// their own loopback addresses. It is safe for concurrent use.
+type Cluster struct {
+	Platform *Platform
+	Group    *Group
+	options  ClusterOptions
+	network  string // the first three bytes of the loopback addresses
+
+	mu     sync.Mutex
+	vms    []*EntryVM
+	number int // of VMs created so far
+}
+
+// EntryVM is one of the system's own VMs.
+type EntryVM struct {
+	ID     model.VMID
+	Domain model.FailureDomain
+	Sched  *Process
+	Entry  *Process
+	// LogRelay is the VM's way to the log service, if relayed.
+	LogRelay *Relay
+	ip       string
+}
+
+// URL returns the base URL for callers.
+func (v *EntryVM) URL() string { return "http://" + net.JoinHostPort(v.ip, callerPort) }
+
+// PeerAddress returns the address of the VM's balsam-sched.
+func (v *EntryVM) PeerAddress() string { return net.JoinHostPort(v.ip, peerPort) }
+
+// Kill ends both programs with SIGKILL.
+func (v *EntryVM) Kill() {
+	v.Sched.Kill()
+	v.Entry.Kill()
+}
+
+// Pause stops both programs with SIGSTOP.
+func (v *EntryVM) Pause() {
+	v.Sched.Pause()
+	v.Entry.Pause()
+}
+
+// Resume lets both programs go on.
+func (v *EntryVM) Resume() {
+	v.Sched.Resume()
+	v.Entry.Resume()
+}
+
+// StartCluster starts the platform and the programs of all entry VMs, without
+// waiting until they are ready.
+func StartCluster(options ClusterOptions) (*Cluster, error) {
+	c := &Cluster{
+		Group:   NewGroup(options.Dir),
+		options: options,
+		network: fmt.Sprintf("127.%d.%d", 1+rand.N(254), rand.N(255)),
+	}
+	for range options.EntryVMs {
+		vm := c.newVM()
+		c.vms = append(c.vms, vm)
+		c.options.Cell.Entries = append(c.options.Cell.Entries, cell.Entry{ID: vm.ID, Address: vm.PeerAddress(), Domain: vm.Domain})
+	}
+	var err error
+	c.Platform, err = StartPlatform(c.Group, options.Binaries, options.Dir, c.options.Cell, startTimeout)
+	if err == nil {
+		err = c.startPrograms()
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) startPrograms() error {
+	for _, vm := range c.vms {
+		if err := c.startVM(vm); err != nil {
+			return err
+		}
+	}
+	return c.writeCtlSettings()
+}
+
+// Close kills everything that runs.
+func (c *Cluster) Close() {
+	c.Group.Close()
+	for _, vm := range c.VMs() {
+		if vm.LogRelay != nil {
+			vm.LogRelay.Close()
+		}
+	}
+}
+
+// VMs returns the present entry VMs.
+func (c *Cluster) VMs() []*EntryVM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*EntryVM(nil), c.vms...)
+}
+
+// Replace puts a new VM with a new address into the VM list, in the failure
+// domain of the old one, which is listed as gone.
+func (c *Cluster) Replace(old *EntryVM) (*EntryVM, error) {
+	c.mu.Lock()
+	vm := c.newVM()
+	vm.Domain = old.Domain
+	for i := range c.vms {
+		if c.vms[i] == old {
+			c.vms[i] = vm
+		}
+	}
+	c.mu.Unlock()
+	if err := c.Platform.SetVM(vmlist.SetState{ID: old.ID, State: vmlist.Gone}); err != nil {
+		return nil, err
+	}
+	listed := model.VM{ID: vm.ID, Role: model.RoleEntry, Address: vm.PeerAddress(), FailureDomain: vm.Domain}
+	if err := c.Platform.SetVM(vmlist.SetState{State: vmlist.Live, VM: &listed}); err != nil {
+		return nil, err
+	}
+	return vm, c.startVM(vm)
+}
+
+// AwaitReady waits until the VM's entry takes requests.
+func (c *Cluster) AwaitReady(vm *EntryVM) error {
+	ready := func() bool {
+		response, err := adminClient.Get(vm.URL() + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}
+	if !Eventually(startTimeout, ready) {
+		return Error.New("%s is not ready\n%s", vm.ID, c.Group.Dump(logLines))
+	}
+	return nil
+}
+
+// Ctl runs balsamctl and returns what it printed to its standard output.
+func (c *Cluster) Ctl(args ...string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), ctlTimeout)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, filepath.Join(c.options.Binaries, "balsamctl"), args...)
+	cmd.Env = append(os.Environ(), "BALSAMCTL_SETTINGS="+filepath.Join(c.options.Dir, "ctl.toml"))
+	var stderr strings.Builder
+	cmd.Stderr = &stderr
+	out, err := cmd.Output()
+	if err != nil {
+		return out, Error.New("balsamctl %s: %w\n%s", strings.Join(args, " "), err, stderr.String())
+	}
+	return out, nil
+}
+
+// newVM names the next VM and its address.
+func (c *Cluster) newVM() *EntryVM {
+	n := c.number
+	c.number++
+	return &EntryVM{
+		ID:     model.VMID(fmt.Sprintf("entry-%d", n)),
+		Domain: c.options.Cell.FailureDomains[n%len(c.options.Cell.FailureDomains)],
+		ip:     fmt.Sprintf("%s.%d", c.network, 10+n),
+	}
+}
+
+func (c *Cluster) startVM(vm *EntryVM) error {
+	logURL := c.Platform.URLs.Log
+	if c.options.Relayed {
+		relay, err := NewRelay(strings.TrimPrefix(logURL, "http://"))
+		if err != nil {
+			return err
+		}
+		vm.LogRelay = relay
+		logURL = "http://" + relay.Address()
+	}
+	sched, err := c.write(vm, "sched", schedSettings(vm, logURL, c.Platform.URLs.VMs))
+	if err != nil {
+		return err
+	}
+	entry, err := c.write(vm, "entry", entrySettings(vm, logURL, c.Platform.URLs.VMs))
+	if err != nil {
+		return err
+	}
+	vm.Sched, err = c.Group.Start(string(vm.ID)+"-sched", filepath.Join(c.options.Binaries, "balsam-sched"), "--settings", sched)
+	if err != nil {
+		return err
+	}
+	vm.Entry, err = c.Group.Start(string(vm.ID)+"-entry", filepath.Join(c.options.Binaries, "balsam-entry"), "--settings", entry)
+	return err
+}
+
+func (c *Cluster) write(vm *EntryVM, program, text string) (string, error) {
+	path := filepath.Join(c.options.Dir, fmt.Sprintf("%s-%s.toml", vm.ID, program))
+	return path, Error.Wrap(os.WriteFile(path, []byte(text), 0o600))
+}
+
+func (c *Cluster) writeCtlSettings() error {
+	path := filepath.Join(c.options.Dir, "ctl.toml")
+	text := platformSettings(c.Platform.URLs.Log, c.Platform.URLs.VMs)
+	return Error.Wrap(os.WriteFile(path, []byte(text), 0o600))
+}
+
+func schedSettings(vm *EntryVM, logURL, vmsURL string) string {
+	return fmt.Sprintf("address = %q\nmetrics_address = %q\nfailure_domain = %q\n",
+		vm.PeerAddress(), net.JoinHostPort(vm.ip, schedMetricsPort), vm.Domain) + platformSettings(logURL, vmsURL)
+}
+
+func entrySettings(vm *EntryVM, logURL, vmsURL string) string {
+	return fmt.Sprintf("listen = %q\nmetrics_address = %q\nfailure_domain = %q\nsched = %q\n",
+		net.JoinHostPort(vm.ip, callerPort), net.JoinHostPort(vm.ip, entryMetricsPort), vm.Domain, vm.PeerAddress()) +
+		platformSettings(logURL, vmsURL)
+}
+
+func platformSettings(logURL, vmsURL string) string {
+	return fmt.Sprintf("[platform]\nlog = %q\nvm_list = %q\n", logURL, vmsURL)
+}
--- /dev/null
+++ b/internal/proctest/platform.go
@@ -0,0 +1,109 @@
+package proctest
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/history"
+	"github.com/balsamhitch/balsamhitch/internal/standin/cell"
+	"github.com/balsamhitch/balsamhitch/internal/standin/fault"
+	"github.com/balsamhitch/balsamhitch/internal/standin/vmlist"
+)
+
+const (
+	adminTimeout = 10 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+var adminClient = &http.Client{Timeout: adminTimeout}
+
+// Platform is a cell's stand-ins in a process of their own.
+type Platform struct {
+	Process *Process
+	URLs    cell.URLs
+}
+
+// StartPlatform runs balsam-standin with the cell's settings until the
+// group's end and waits until it is ready.
+func StartPlatform(group *Group, binaries, dir string, config cell.Config, within time.Duration) (*Platform, error) {
+	data, err := toml.Marshal(config)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	path := filepath.Join(dir, "cell.toml")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	process, err := group.Start("platform", filepath.Join(binaries, "balsam-standin"), "cell", "--config", path)
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{Process: process}
+	ready := func() bool { return json.Unmarshal(process.Output(), &p.URLs) == nil }
+	if !Eventually(within, ready) {
+		return nil, Error.New("the stand-ins did not start: %s", process.Tail(10))
+	}
+	return p, nil
+}
+
+// SetFaults sets the faults of a target: "log", "vms" or a VM's id.
+func (p *Platform) SetFaults(target string, faults fault.Faults) error {
+	return p.post(cell.PathTargetFaults, cell.TargetFaults{Target: target, Faults: faults})
+}
+
+// SetVM changes the state of a VM in the VM list, or adds one.
+func (p *Platform) SetVM(change vmlist.SetState) error {
+	return p.post(cell.PathVMState, change)
+}
+
+// SetDomainGone cuts every target VM of a failure domain off, or returns it.
+func (p *Platform) SetDomainGone(domain model.FailureDomain, gone bool) error {
+	return p.post(cell.PathDomain, cell.DomainState{Domain: domain, Gone: gone})
+}
+
+// History returns what the stand-ins recorded.
+func (p *Platform) History() ([]history.Event, error) {
+	response, err := adminClient.Get(p.URLs.Admin + "/admin/history")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var events []history.Event
+	err = json.NewDecoder(response.Body).Decode(&events)
+	return events, Error.Wrap(err)
+}
+
+func (p *Platform) post(path string, in any) error {
+	data, err := json.Marshal(in)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	response, err := adminClient.Post(p.URLs.Admin+path, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return Error.New("%s: status %d", path, response.StatusCode)
+	}
+	return nil
+}
+
+// Eventually polls until ok holds and reports whether it did in time.
+func Eventually(within time.Duration, ok func() bool) bool {
+	deadline := time.Now().Add(within)
+	for !ok() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(pollInterval)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/proctest/procs.go
@@ -0,0 +1,191 @@
+// Package proctest starts real programs for process tests and for the
+// demonstration: processes that end with their parent, a relay that cuts
+// links, and the settings of a whole cell on loopback.
+package proctest
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("proctest")
+
+// stopTimeout is how long Close waits for a killed process.
+const stopTimeout = 10 * time.Second
+
+// Group starts processes and ends them all on Close. Its processes also end
+// when this process dies. It is safe for concurrent use.
+type Group struct {
+	dir    string // of the output files
+	starts chan startRequest
+	done   chan struct{}
+
+	mu        sync.Mutex
+	processes []*Process
+}
+
+type startRequest struct {
+	cmd    *exec.Cmd
+	result chan error
+}
+
+// NewGroup returns a group that writes the processes' output to dir.
+func NewGroup(dir string) *Group {
+	g := &Group{dir: dir, starts: make(chan startRequest), done: make(chan struct{})}
+	go g.startLoop()
+	return g
+}
+
+// startLoop starts all processes from one thread that lives as long as the
+// group: Linux sends the parent-death signal when the starting thread ends.
+func (g *Group) startLoop() {
+	runtime.LockOSThread()
+	for {
+		select {
+		case request := <-g.starts:
+			request.result <- request.cmd.Start()
+		case <-g.done:
+			return
+		}
+	}
+}
+
+// Start starts a program. Its standard output and error go to a file that is
+// named after the process.
+func (g *Group) Start(name, binary string, args ...string) (*Process, error) {
+	output, err := os.Create(filepath.Join(g.dir, name+".log"))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout = output
+	cmd.Stderr = output
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	request := startRequest{cmd: cmd, result: make(chan error, 1)}
+	g.starts <- request
+	if err := <-request.result; err != nil {
+		_ = output.Close()
+		return nil, Error.Wrap(err)
+	}
+	p := &Process{Name: name, cmd: cmd, output: output.Name(), exited: make(chan struct{})}
+	go p.wait(output)
+	g.mu.Lock()
+	g.processes = append(g.processes, p)
+	g.mu.Unlock()
+	return p, nil
+}
+
+// Close kills every process that still runs and waits for all.
+func (g *Group) Close() {
+	g.mu.Lock()
+	processes := g.processes
+	g.processes = nil
+	g.mu.Unlock()
+	for _, p := range processes {
+		p.Kill()
+	}
+	close(g.done)
+}
+
+// Dump returns the last lines of every process's output.
+func (g *Group) Dump(lines int) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var b bytes.Buffer
+	for _, p := range g.processes {
+		fmt.Fprintf(&b, "--- %s (%s)\n%s\n", p.Name, p.state(), p.Tail(lines))
+	}
+	return b.String()
+}
+
+// Process is a started program. It is safe for concurrent use.
+type Process struct {
+	Name   string
+	cmd    *exec.Cmd
+	output string
+	exited chan struct{}
+	err    error // valid once exited is closed
+}
+
+func (p *Process) wait(output *os.File) {
+	p.err = p.cmd.Wait()
+	_ = output.Close()
+	close(p.exited)
+}
+
+// Pid returns the process id.
+func (p *Process) Pid() int {
+	return p.cmd.Process.Pid
+}
+
+// Kill ends the process with SIGKILL and waits until it is gone.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	select {
+	case <-p.exited:
+	case <-time.After(stopTimeout):
+	}
+}
+
+// Pause stops the process with SIGSTOP.
+func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
+
+// Terminate asks the process to shut down with SIGTERM.
+func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+
+// Exited is closed when the process is gone.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// ExitError returns how the process ended; nil for exit code 0. It waits for
+// the end.
+func (p *Process) ExitError() error {
+	<-p.exited
+	return p.err
+}
+
+// Output returns everything that the process has printed.
+func (p *Process) Output() []byte {
+	data, _ := os.ReadFile(p.output)
+	return data
+}
+
+// Tail returns the last lines of the output.
+func (p *Process) Tail(lines int) string {
+	all := bytes.Split(bytes.TrimSpace(p.Output()), []byte("\n"))
+	if len(all) > lines {
+		all = all[len(all)-lines:]
+	}
+	return string(bytes.Join(all, []byte("\n")))
+}
+
+func (p *Process) state() string {
+	select {
+	case <-p.exited:
+		return fmt.Sprint("ended: ", p.cmd.ProcessState)
+	default:
+		return fmt.Sprint("runs as ", p.Pid())
+	}
+}
+
+// signal sends to the process's own group, while the process is known to be
+// there.
+func (p *Process) signal(signal syscall.Signal) {
+	select {
+	case <-p.exited:
+	default:
+		_ = syscall.Kill(-p.Pid(), signal)
+	}
+}
