--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -57,15 +56,11 @@
 	return &Fleet{entries: entries}
 }
 
-// Replace puts one entry in the place of another.
-func (f *Fleet) Replace(old, replacement string) {
+// Add puts an entry into the balancer.
+func (f *Fleet) Add(entry string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i, entry := range f.entries {
-		if entry == old {
-			f.entries[i] = replacement
-		}
-	}
+	f.entries = append(f.entries, entry)
 }
 
 // Remove takes an entry out of the balancer.
@@ -206,8 +201,3 @@
 	}
 	return answerOf(response.StatusCode, response.Header, body), nil
 }
-
-// Unsent reports whether the error proves that nothing was sent.
-func Unsent(err error) bool {
-	return errUnsent.Has(err) && !errors.Is(err, context.Canceled)
-}
--- /dev/null
+++ b/internal/demo/report.go
@@ -0,0 +1,117 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/history"
+)
+
+const (
+	maxWait          = 10 * time.Minute
+	waitDigits       = 3 // significant figures of waiting times
+	shownEvents      = 12
+	shownPerPromise  = 3
+	microsPerMilli   = 1000
+	percentileMedian = 50
+	percentileTail   = 99
+)
+
+// waits derives each team's waiting times: from a call's first sending to the
+// first start of its work.
+func waits(events []history.Event) map[model.TeamID]*hdrhistogram.Histogram {
+	sorted := append([]history.Event(nil), events...)
+	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].At.Before(sorted[j].At) })
+	sent := make(map[string]history.Event)
+	out := make(map[model.TeamID]*hdrhistogram.Histogram)
+	for _, e := range sorted {
+		switch e.Kind {
+		case history.Sent:
+			if _, again := sent[e.Call]; !again {
+				sent[e.Call] = e
+			}
+		case history.QuickStart, history.TaskStart:
+			first, ok := sent[e.Call]
+			if !ok || e.Attempt > 1 {
+				continue
+			}
+			if out[first.Team] == nil {
+				out[first.Team] = hdrhistogram.New(1, maxWait.Microseconds(), waitDigits)
+			}
+			_ = out[first.Team].RecordValue(max(1, e.At.Sub(first.At).Microseconds()))
+		}
+	}
+	return out
+}
+
+// doubled counts, per team, the calls whose quick request or task was started
+// more than once.
+func doubled(events []history.Event) map[model.TeamID]int {
+	starts := make(map[string]int)
+	out := make(map[model.TeamID]int)
+	for _, e := range events {
+		if e.Kind != history.QuickStart && e.Kind != history.TaskStart {
+			continue
+		}
+		id := e.Call + "/" + string(e.Task)
+		starts[id]++
+		if starts[id] == 2 {
+			out[e.Team]++
+		}
+	}
+	return out
+}
+
+// writeTable prints one line per team.
+func (l *load) writeTable(w io.Writer, events []history.Event) error {
+	waiting, twice := waits(events), doubled(events)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "team\tsent\tanswered once\tfailed\tnot run\tunknown\tlost\tstarted again\twait p50 ms\twait p99 ms\t")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, team := range l.order {
+		t := l.tallies[team]
+		p50, p99 := percentiles(waiting[team])
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t\n", team,
+			t.sent.Load(), t.done.Load(), t.failed.Load(), t.notRun.Load(), t.unknown.Load(), t.lost.Load(), twice[team], p50, p99)
+	}
+	return table.Flush()
+}
+
+func percentiles(h *hdrhistogram.Histogram) (median, tail string) {
+	if h == nil {
+		return "-", "-"
+	}
+	format := func(p float64) string {
+		return fmt.Sprintf("%.1f", float64(h.ValueAtPercentile(p))/microsPerMilli)
+	}
+	return format(percentileMedian), format(percentileTail)
+}
+
+// WritePromises prints what became of each promise and returns how many
+// broke.
+func WritePromises(w io.Writer, found []history.Violation) int {
+	byPromise := make(map[history.Promise][]history.Violation)
+	for _, v := range found {
+		byPromise[v.Promise] = append(byPromise[v.Promise], v)
+	}
+	for _, promise := range history.Promises() {
+		broken := byPromise[promise]
+		if len(broken) == 0 {
+			_, _ = fmt.Fprintf(w, "kept    %s\n", promise)
+			continue
+		}
+		_, _ = fmt.Fprintf(w, "BROKEN  %s (%d times)\n", promise, len(broken))
+		for _, v := range broken[:min(len(broken), shownPerPromise)] {
+			v.Events = v.Events[:min(len(v.Events), shownEvents)]
+			_, _ = fmt.Fprintf(w, "        %s\n", v)
+		}
+	}
+	return len(byPromise)
+}
