--- a/internal/core/candidate/candidate.go
+++ b/internal/core/candidate/candidate.go
@@ -1,5 +1,5 @@
 // Package candidate picks the racks that a task is offered to, from lagging
-// summaries of free capacity. It is pure; a Picker is not safe for concurrent
+// summaries of free capacity. It is pure; a View is not safe for concurrent
 // use.
 package candidate
 
@@ -13,12 +13,11 @@
 
 // Rack is the lagging summary of one rack.
 type Rack struct {
-	Partition   model.PartitionID
-	Free        model.Resources
-	LargestFree model.Resources // per dimension, on a single worker
-	LargestVM   model.Resources
-	Capacity    model.Resources
-	Domains     []model.FailureDomain
+	Partition model.PartitionID
+	// Room lists what single workers have free; see rack.Summary.
+	Room      []model.Resources
+	LargestVM model.Resources // per dimension
+	Domains   []model.FailureDomain
 }
 
 // Query describes the task that seeks a rack.
@@ -32,85 +31,150 @@
 	Avoid  []model.PartitionID // racks that refused the task just now
 }
 
-// Picker holds the random choices of one team owner.
-type Picker struct {
+// View is one team owner's picture of all racks. Its picks are random among
+// racks that fit about equally well, so that owners with the same picture do
+// not all offer to the same rack; their cost does not grow with the cell.
+type View struct {
 	random  *rand.Rand
-	choices int
+	racks   map[model.PartitionID]*filed
+	domains []*domain // sorted by name
+	order   []*domain // scratch space of Pick
 }
 
-// defaultChoices is how many random racks are compared per pick.
-const defaultChoices = 4
+// domain files the racks of a failure domain, those with accelerators and all.
+type domain struct {
+	name         model.FailureDomain
+	all          ladder
+	accelerators ladder
+}
+
+// filed is a rack and where it is filed.
+type filed struct {
+	Rack
+	places []place
+}
 
-// NewPicker returns a picker that compares that many random racks; zero
-// selects the default. Equal seeds lead to equal picks.
-func NewPicker(seed uint64, choices int) *Picker {
-	if choices <= 0 {
-		choices = defaultChoices
+// NewView returns an empty view. Equal seeds and calls lead to equal picks.
+func NewView(seed uint64) *View {
+	return &View{random: rand.New(rand.NewPCG(seed, seed)), racks: make(map[model.PartitionID]*filed)}
+}
+
+// Update replaces the summary of a rack. The view keeps its own copy.
+func (v *View) Update(rack Rack) {
+	v.Remove(rack.Partition)
+	f := &filed{Rack: rack}
+	f.Room = slices.Clone(rack.Room)
+	v.racks[rack.Partition] = f
+	for _, name := range rack.Domains {
+		d := v.domain(name)
+		f.places = append(f.places, place{ladder: &d.all})
+		if rack.LargestVM.Accelerators > 0 {
+			f.places = append(f.places, place{ladder: &d.accelerators, accelerators: true})
+		}
+	}
+	for i := range f.places {
+		f.insert(i)
 	}
-	return &Picker{random: rand.New(rand.NewPCG(seed, seed)), choices: choices}
 }
 
-// maxDraws bounds the random draws per pick, as multiples of the choices.
-const maxDraws = 4
+// Remove drops a rack.
+func (v *View) Remove(partition model.PartitionID) {
+	f := v.racks[partition]
+	if f == nil {
+		return
+	}
+	for i := range f.places {
+		f.remove(i)
+	}
+	delete(v.racks, partition)
+}
 
-// Pick returns up to n racks, the best first: racks with room on one worker
-// before full ones, then domains with fewer tasks of the job, then the tighter
-// fit. Only a few random racks are looked at, so that the cost does not grow
-// with the cell and owners with the same view do not all pick the same rack.
-// When no draw suits, one pass over all racks follows.
-func (p *Picker) Pick(racks []Rack, q Query, n int) []model.PartitionID {
-	drawn := p.draw(racks, q, max(p.choices, n))
-	slices.SortStableFunc(drawn, func(a, b int) int { return compare(&racks[a], &racks[b], q) })
-	picked := make([]model.PartitionID, 0, n)
-	for _, i := range drawn[:min(n, len(drawn))] {
-		picked = append(picked, racks[i].Partition)
-	}
-	return picked
-}
-
-// draw returns distinct suitable racks.
-func (p *Picker) draw(racks []Rack, q Query, want int) []int {
-	var drawn []int
-	if len(racks) > want {
-		roomy := 0
-		for range maxDraws * want {
-			i := p.random.IntN(len(racks))
-			if slices.Contains(drawn, i) || !q.suits(&racks[i]) {
-				continue
-			}
-			drawn = append(drawn, i)
-			if q.roomy(&racks[i]) {
-				roomy++
-			}
-			if roomy >= want {
-				return drawn
-			}
+// Take deducts a task that was just offered to the rack, until its next
+// summary tells.
+func (v *View) Take(partition model.PartitionID, size model.Resources) {
+	f := v.racks[partition]
+	if f == nil {
+		return
+	}
+	i := f.tightest(size)
+	if i < 0 {
+		return
+	}
+	f.Room[i] = f.Room[i].Sub(size)
+	for i := range f.places {
+		f.move(i)
+	}
+}
+
+// tightest returns the index of the room that the size fits best, or -1.
+func (r *Rack) tightest(size model.Resources) int {
+	best, least := -1, 0.0
+	for i, room := range r.Room {
+		if !size.Fits(room) {
+			continue
 		}
-		if roomy > 0 {
-			return drawn
+		if left := room.Sub(size).DominantShare(r.LargestVM); best < 0 || left < least {
+			best, least = i, left
 		}
 	}
-	return p.all(racks, q)
+	return best
+}
+
+func (v *View) domain(name model.FailureDomain) *domain {
+	i, found := slices.BinarySearchFunc(v.domains, name, func(d *domain, name model.FailureDomain) int {
+		return cmp.Compare(d.name, name)
+	})
+	if !found {
+		v.domains = slices.Insert(v.domains, i, &domain{name: name})
+	}
+	return v.domains[i]
 }
 
-// all returns every suitable rack in random order.
-func (p *Picker) all(racks []Rack, q Query) []int {
-	var suited []int
-	for i := range racks {
-		if q.suits(&racks[i]) {
-			suited = append(suited, i)
+// Draws of random racks per domain and pick.
+const (
+	roomyDraws = 4  // among racks that should have room
+	otherDraws = 12 // among the others
+)
+
+// Pick returns up to n racks, the best first: racks with room on one worker
+// come before full ones, of those first the domains with fewer tasks of the
+// job, then the tighter fit.
+func (v *View) Pick(q Query, n int) []model.PartitionID {
+	p := pick{view: v, query: &q, want: n, picked: make([]model.PartitionID, 0, n)}
+	v.sortDomains(&q)
+	for _, draw := range [...]func(*ladder){p.drawRoomy, p.drawLikely, p.drawAny} {
+		for _, d := range v.order {
+			if len(p.picked) >= n {
+				return p.picked
+			}
+			draw(d.ladder(&q))
 		}
 	}
-	p.random.Shuffle(len(suited), func(i, j int) { suited[i], suited[j] = suited[j], suited[i] })
-	return suited
+	return p.picked
 }
 
-// suits reports whether the rack could ever run the task.
-func (q *Query) suits(r *Rack) bool {
-	if !q.Size.Fits(r.LargestVM) || slices.Contains(q.Avoid, r.Partition) {
-		return false
+func (d *domain) ladder(q *Query) *ladder {
+	if q.Size.Accelerators > 0 {
+		return &d.accelerators
+	}
+	return &d.all
+}
+
+// sortDomains fills the scratch space with the allowed domains: fewer tasks of
+// the job first, equal ones in random order.
+func (v *View) sortDomains(q *Query) {
+	v.order = v.order[:0]
+	for _, d := range v.domains {
+		if q.allows(d.name) {
+			v.order = append(v.order, d)
+		}
+	}
+	v.random.Shuffle(len(v.order), func(i, j int) { v.order[i], v.order[j] = v.order[j], v.order[i] })
+	if len(q.Spread) > 0 {
+		slices.SortStableFunc(v.order, func(a, b *domain) int {
+			return cmp.Compare(q.Spread[a.name], q.Spread[b.name])
+		})
 	}
-	return slices.ContainsFunc(r.Domains, q.allows)
 }
 
 func (q *Query) allows(domain model.FailureDomain) bool {
@@ -120,39 +184,70 @@
 	return len(q.Domains) == 0 || slices.Contains(q.Domains, domain)
 }
 
-// roomy reports whether a worker of the rack seems to have room now.
-func (q *Query) roomy(r *Rack) bool {
-	return q.Size.Fits(r.LargestFree)
+// pick is the state of one Pick call.
+type pick struct {
+	view   *View
+	query  *Query
+	want   int
+	picked []model.PartitionID
 }
 
-func compare(a, b *Rack, q Query) int {
-	if x, y := q.roomy(a), q.roomy(b); x != y {
-		if x {
-			return -1
-		}
-		return 1
+// add picks the rack if it suits and reports whether enough are picked.
+func (p *pick) add(f *filed, room bool) bool {
+	if !p.query.Size.Fits(f.LargestVM) || room && f.tightest(p.query.Size) < 0 {
+		return false
 	}
-	if order := cmp.Compare(q.fewest(a), q.fewest(b)); order != 0 {
-		return order
+	if slices.Contains(p.query.Avoid, f.Partition) || slices.Contains(p.picked, f.Partition) {
+		return false
 	}
-	if q.roomy(a) {
-		return cmp.Compare(leftover(a, q), leftover(b, q))
+	p.picked = append(p.picked, f.Partition)
+	return len(p.picked) >= p.want
+}
+
+// drawRoomy draws from the steps whose racks have room for certain, as of
+// their summaries, the tightest step first.
+func (p *pick) drawRoomy(l *ladder) {
+	draws := 0
+	for step := stepFor(p.query.Size, l.largest); step < steps; step++ {
+		racks := l.steps[step]
+		for range min(len(racks), roomyDraws) {
+			if draws++; draws > roomyDraws {
+				return
+			}
+			if p.add(racks[p.view.random.IntN(len(racks))], true) {
+				return
+			}
+		}
 	}
-	return 0
 }
 
-// fewest returns the job's tasks in the rack's allowed domain with the fewest.
-func (q *Query) fewest(r *Rack) int {
-	least := -1
-	for _, domain := range r.Domains {
-		if n := q.Spread[domain]; q.allows(domain) && (least < 0 || n < least) {
-			least = n
+// drawLikely draws from the lower steps, whose racks may have room.
+func (p *pick) drawLikely(l *ladder) {
+	p.drawBelow(l, true)
+}
+
+// drawAny takes racks without room that could run the task one day.
+func (p *pick) drawAny(l *ladder) {
+	if p.drawBelow(l, false) || len(p.picked) > 0 {
+		return
+	}
+	for _, racks := range l.steps {
+		for _, f := range racks {
+			if p.add(f, false) {
+				return
+			}
 		}
 	}
-	return least
 }
 
-// leftover is the dominant fraction that a worker would have left.
-func leftover(r *Rack, q Query) float64 {
-	return r.LargestFree.Sub(q.Size).DominantShare(r.LargestVM)
+func (p *pick) drawBelow(l *ladder, room bool) bool {
+	if l.count == 0 {
+		return false
+	}
+	for range otherDraws {
+		if p.add(l.at(p.view.random.IntN(l.count)), room) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/core/rack/gang.go
+++ b/internal/core/rack/gang.go
@@ -20,7 +20,7 @@
 func (r *Rack) ReserveGang(offers []Offer, now, expiry time.Duration) ([]Decision, bool) {
 	r.Expire(now)
 	decisions := make([]Decision, len(offers))
-	order := newBatch(offers, r.scale)
+	order := newBatch(offers, r.scale, r.policy.Order)
 	b := &batch{}
 	var placed []*entry
 	whole := true
--- a/internal/core/rack/hold.go
+++ b/internal/core/rack/hold.go
@@ -124,6 +124,7 @@
 		delete(r.refused, task)
 		r.dropHold(r.holds[task])
 	}
+	r.withdrawClaims(tasks)
 }
 
 // expireHolds drops the holds of tasks that are no longer offered.
--- a/internal/core/rack/place.go
+++ b/internal/core/rack/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamhitch/balsamhitch/internal/core/fairness"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
 
@@ -13,51 +14,61 @@
 
 // batch is the state of one PlaceBatch call.
 type batch struct {
+	policy fairness.Policy
 	offers []Offer
-	teams  teamHeap
+	ghosts []Offer // claims of teams that did not offer
+	byTeam map[model.TeamID]*teamTurn
+	teams  []*teamTurn       // heap
 	misses []model.Resources // sizes that no indexed worker has room for
+	loans  []loan
 }
 
 // teamTurn is a team's remaining offers within a batch.
 type teamTurn struct {
 	team  model.TeamID
-	ratio float64
-	queue []int // indexes of offers, next first
+	turn  fairness.Turn
+	ghost bool
+	queue []int // indexes of offers, or of ghosts, next first
 }
 
-type teamHeap []*teamTurn
-
-func (h teamHeap) Len() int { return len(h) }
-func (h teamHeap) Less(i, j int) bool {
-	if h[i].ratio != h[j].ratio {
-		return h[i].ratio < h[j].ratio
-	}
-	return h[i].team < h[j].team
-}
-func (h teamHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *teamHeap) Push(x any)   { *h = append(*h, x.(*teamTurn)) }
-func (h *teamHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
+func (b *batch) Len() int           { return len(b.teams) }
+func (b *batch) Less(i, j int) bool { return b.policy.Before(b.teams[i].turn, b.teams[j].turn) }
+func (b *batch) Swap(i, j int)      { b.teams[i], b.teams[j] = b.teams[j], b.teams[i] }
+func (b *batch) Push(x any)         { b.teams = append(b.teams, x.(*teamTurn)) }
+func (b *batch) Pop() any {
+	last := b.teams[len(b.teams)-1]
+	b.teams = b.teams[:len(b.teams)-1]
 	return last
 }
 
 // PlaceBatch decides on offers of any teams and returns one decision for each
-// in the order of the offers. The team with the lowest ratio goes first;
+// in the order of the offers. Teams take turns in the order of the policy;
 // within a team urgent tasks come first, then lower ratios, then larger sizes.
 // An offer whose permit is held already gets its earlier decision again.
 func (r *Rack) PlaceBatch(offers []Offer, now time.Duration) []Decision {
 	r.Expire(now)
 	decisions := make([]Decision, len(offers))
-	b := newBatch(offers, r.scale)
+	b := newBatch(offers, r.scale, r.policy.Order)
+	r.addClaims(b, now)
+	heap.Init(b)
 	for len(b.teams) > 0 {
 		turn := b.teams[0]
 		i := turn.queue[0]
 		turn.queue = turn.queue[1:]
-		decisions[i] = r.decide(b, &offers[i], now)
-		b.advance(turn, decisions[i])
+		step := 0.0
+		if turn.ghost {
+			r.lend(b, &b.ghosts[i], now)
+			step = b.ghosts[i].RatioStep
+		} else {
+			decisions[i] = r.decide(b, &offers[i], now)
+			if decisions[i].Reserved {
+				step = offers[i].RatioStep
+			}
+		}
+		b.advance(turn, step)
 	}
+	r.returnLoans(b)
+	r.noteClaims(b, decisions, now)
 	return decisions
 }
 
@@ -66,31 +77,50 @@
 	return r.PlaceBatch([]Offer{o}, now)[0]
 }
 
-func newBatch(offers []Offer, scale model.Resources) *batch {
-	b := &batch{offers: offers}
-	turns := make(map[model.TeamID]*teamTurn)
+func newBatch(offers []Offer, scale model.Resources, policy fairness.Policy) *batch {
+	b := &batch{policy: policy, offers: offers, byTeam: make(map[model.TeamID]*teamTurn)}
+	var turns []*teamTurn
+	shares := make([]float64, len(offers))
 	for i := range offers {
 		team := offers[i].Permit.Team
-		turn := turns[team]
+		turn := b.byTeam[team]
 		if turn == nil {
 			turn = &teamTurn{team: team}
-			turns[team] = turn
-			b.teams = append(b.teams, turn)
+			b.byTeam[team] = turn
+			turns = append(turns, turn)
 		}
 		turn.queue = append(turn.queue, i)
-	}
-	shares := make([]float64, len(offers))
-	for i := range offers {
 		shares[i] = offers[i].Size.DominantShare(scale)
 	}
-	for _, turn := range b.teams {
+	for _, turn := range turns {
 		slices.SortFunc(turn.queue, func(i, j int) int { return compareOffers(offers, shares, i, j) })
-		turn.ratio = offers[turn.queue[0]].Permit.Ratio
+		b.addTurn(turn)
 	}
-	heap.Init(&b.teams)
 	return b
 }
 
+// addTurn lets a team take part from its first offer on.
+func (b *batch) addTurn(turn *teamTurn) {
+	turn.turn.Team = turn.team
+	b.point(turn, 0)
+	b.teams = append(b.teams, turn)
+}
+
+// point sets the team's turn to its next offer.
+func (b *batch) point(turn *teamTurn, ratio float64) {
+	next := &b.next(turn)[turn.queue[0]]
+	turn.turn.Ratio = max(ratio, next.Permit.Ratio)
+	turn.turn.Urgent = next.Urgent
+	turn.turn.Waited = next.Waited
+}
+
+func (b *batch) next(turn *teamTurn) []Offer {
+	if turn.ghost {
+		return b.ghosts
+	}
+	return b.offers
+}
+
 func compareOffers(offers []Offer, shares []float64, i, j int) int {
 	a, b := &offers[i], &offers[j]
 	switch {
@@ -112,17 +142,14 @@
 	return 1
 }
 
-// advance moves the team back by what it just got.
-func (b *batch) advance(turn *teamTurn, d Decision) {
+// advance moves the first team back by the step that its ratio rose.
+func (b *batch) advance(turn *teamTurn, step float64) {
 	if len(turn.queue) == 0 {
-		heap.Pop(&b.teams)
+		heap.Pop(b)
 		return
 	}
-	if d.Reserved {
-		turn.ratio += d.Offer.RatioStep
-	}
-	turn.ratio = max(turn.ratio, b.offers[turn.queue[0]].Permit.Ratio)
-	heap.Fix(&b.teams, 0)
+	b.point(turn, turn.turn.Ratio+step)
+	heap.Fix(b, 0)
 }
 
 // decide places one offer or refuses it.
--- a/internal/core/rack/summary.go
+++ b/internal/core/rack/summary.go
@@ -1,6 +1,7 @@
 package rack
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 
@@ -25,6 +26,7 @@
 		s.add(w)
 	}
 	slices.Sort(s.Domains)
+	s.trimRoom()
 	return s
 }
 
@@ -35,6 +37,7 @@
 	s.LargestVM = s.LargestVM.Max(w.vm.Capacity)
 	if w.hold == nil {
 		s.LargestFree = s.LargestFree.Max(w.free)
+		s.addRoom(w.free)
 	} else {
 		s.Held++
 	}
@@ -43,6 +46,25 @@
 	}
 }
 
+// addRoom keeps the free amounts that no other exceeds in every dimension.
+func (s *Summary) addRoom(free model.Resources) {
+	for _, known := range s.Room {
+		if free.Fits(known) {
+			return
+		}
+	}
+	s.Room = slices.DeleteFunc(s.Room, func(known model.Resources) bool { return known.Fits(free) })
+	s.Room = append(s.Room, free)
+}
+
+// trimRoom sorts the roomiest first and drops the rest.
+func (s *Summary) trimRoom() {
+	slices.SortFunc(s.Room, func(a, b model.Resources) int {
+		return cmp.Compare(b.DominantShare(s.LargestVM), a.DominantShare(s.LargestVM))
+	})
+	s.Room = s.Room[:min(len(s.Room), MaxRoom)]
+}
+
 func (w *worker) unknown() int {
 	n := 0
 	for _, e := range w.entries {
--- a/internal/core/rack/types.go
+++ b/internal/core/rack/types.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/balsamhitch/balsamhitch/internal/core/fairness"
 	"github.com/balsamhitch/balsamhitch/internal/core/health"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/port"
@@ -21,6 +22,11 @@
 
 // Policy tunes a rack. The zero value of a field selects its default.
 type Policy struct {
+	// Order says which team goes first.
+	Order fairness.Policy
+	// MaxClaims is how many refused offers of a team the rack keeps room for
+	// ahead of teams with a higher ratio; a negative value keeps none.
+	MaxClaims int
 	// HoldAfter is how long a task must have been refused for lack of room
 	// before a worker is held for it.
 	HoldAfter time.Duration
@@ -61,6 +67,8 @@
 	// RatioStep is by how much the team's ratio rises with this task. Zero
 	// leaves the order to the permits' own ratios.
 	RatioStep float64
+	// Waited is for how long the task has waited for its start.
+	Waited time.Duration
 	// NonIdempotent keeps the task off workers that are being probed.
 	NonIdempotent bool
 	// Preemptible allows a checkpoint in favor of urgent work.
@@ -161,6 +169,9 @@
 	Capacity    model.Resources
 	Free        model.Resources
 	LargestFree model.Resources // per dimension, on a single worker
+	// Room lists what single workers have free, without those that have less
+	// of everything than another one; at most MaxRoom, the roomiest first.
+	Room        []model.Resources
 	LargestVM   model.Resources // per dimension
 	Domains     []model.FailureDomain
 	VMs         int // that take work
@@ -170,8 +181,12 @@
 	Unknown     int
 }
 
+// MaxRoom bounds Summary.Room.
+const MaxRoom = 4
+
 // The defaults of Policy.
 const (
+	defaultMaxClaims     = 4
 	defaultHoldAfter     = 300 * time.Millisecond
 	defaultHoldGrace     = 2 * time.Second
 	defaultHoldShare     = 0.125
@@ -183,6 +198,7 @@
 )
 
 func (p Policy) withDefaults() Policy {
+	p.MaxClaims = orDefault(p.MaxClaims, defaultMaxClaims)
 	p.HoldAfter = orDefault(p.HoldAfter, defaultHoldAfter)
 	p.HoldGrace = orDefault(p.HoldGrace, defaultHoldGrace)
 	p.HoldShare = orDefault(p.HoldShare, defaultHoldShare)
@@ -194,7 +210,7 @@
 	return p
 }
 
-func orDefault[T time.Duration | float64](value, fallback T) T {
+func orDefault[T int | time.Duration | float64](value, fallback T) T {
 	if value == 0 {
 		return fallback
 	}
