Name the job once in the team tests

Cause: the linter found a parameter that never varies. Ruled out: an exception for it. Conclusion: lint is clean, tests pass.

--- a/internal/core/team/state_test.go
+++ b/internal/core/team/state_test.go
@@ -44,9 +44,9 @@
 	}
 }
 
-func offerOne(t *testing.T, s *State, id string) TaskOffer {
+func offerOne(t *testing.T, s *State) TaskOffer {
 	t.Helper()
-	offer, err := s.OfferTask(model.JobID(id), testRack, testEpoch, 0)
+	offer, err := s.OfferTask("j", testRack, testEpoch, 0)
 	require.NoError(t, err)
 	return offer
 }
@@ -55,7 +55,7 @@
 	s := newState(10)
 	s.AddJob(jobOf("j", 1))
 	for try := 1; try <= maxTries; try++ {
-		offer := offerOne(t, s, "j")
+		offer := offerOne(t, s)
 		assert.Len(t, offer.Avoid, try-1)
 		s.Started(offer.Permit.ID)
 		s.Ended(End{Permit: offer.Permit.ID, Task: offer.Task, Attempt: offer.Attempt, VM: model.VMID(rune('a' + try)), Detail: "exit 1"})
@@ -71,7 +71,7 @@
 	job := jobOf("j", 1)
 	job.Job.NonIdempotent = true
 	s.AddJob(job)
-	offer := offerOne(t, s, "j")
+	offer := offerOne(t, s)
 	s.Ended(End{Permit: offer.Permit.ID, Task: offer.Task, Attempt: offer.Attempt, Lost: true})
 	view, _ := s.Job("j")
 	assert.Equal(t, JobUnknown, view.State)
@@ -84,7 +84,7 @@
 	job.Marks[0] = journal.TaskIntended
 	s := newState(10)
 	s.AddJob(job)
-	offer := offerOne(t, s, "j")
+	offer := offerOne(t, s)
 	assert.Equal(t, model.NewTask("j", 1), offer.Task)
 	_, err := s.OfferTask("j", testRack, testEpoch, 0)
 	assert.Error(t, err)
@@ -114,7 +114,7 @@
 func TestCancelledJobEndsAfterItsRunningTasks(t *testing.T) {
 	s := newState(10)
 	s.AddJob(jobOf("j", 3))
-	offer := offerOne(t, s, "j")
+	offer := offerOne(t, s)
 	s.Started(offer.Permit.ID)
 	assert.Equal(t, []string{offer.Permit.ID}, s.Cancel("j"))
 	view, _ := s.Job("j")
