Reuse a rack's batch memory and count spread only across domains

Cause: small batches paid for maps and slices on every call. Change: a rack keeps its batch memory; tasks per job and domain are counted only where a rack spans domains. Conclusion: a small gain in small batches; none in one large rack.

--- a/internal/core/rack/claim.go
+++ b/internal/core/rack/claim.go
@@ -36,10 +36,11 @@
 		if b.byTeam[team] != nil {
 			continue
 		}
-		turn := &teamTurn{team: team, ghost: true}
+		turn := b.newTurn(team)
+		turn.ghost = true
 		for i := range c.offers {
 			b.ghosts = append(b.ghosts, c.offers[i])
-			turn.queue = append(turn.queue, len(b.ghosts)-1)
+			turn.space = append(turn.space, len(b.ghosts)-1)
 		}
 		b.addTurn(turn)
 	}
--- a/internal/core/rack/gang.go
+++ b/internal/core/rack/gang.go
@@ -20,11 +20,10 @@
 func (r *Rack) ReserveGang(offers []Offer, now, expiry time.Duration) ([]Decision, bool) {
 	r.Expire(now)
 	decisions := make([]Decision, len(offers))
-	order := newBatch(offers, r.scale, r.policy.Order)
-	b := &batch{}
+	b := r.newBatch(offers)
 	var placed []*entry
 	whole := true
-	for _, turn := range order.teams {
+	for _, turn := range b.teams {
 		for _, i := range turn.queue {
 			e, reason := r.reserveMember(b, &offers[i], now, expiry)
 			decisions[i] = Decision{Offer: offers[i], Reason: reason}
--- a/internal/core/rack/ledger.go
+++ b/internal/core/rack/ledger.go
@@ -33,7 +33,9 @@
 	w.settle()
 	r.entries[e.Permit.ID] = e
 	r.tasks[e.Task] = e
-	r.spread[jobDomain{e.Job, w.vm.FailureDomain}]++
+	if len(r.domains) > 1 {
+		r.spread[jobDomain{e.Job, w.vm.FailureDomain}]++
+	}
 	r.refile(w)
 }
 
@@ -52,9 +54,11 @@
 	if r.tasks[e.Task] == e {
 		delete(r.tasks, e.Task)
 	}
-	key := jobDomain{e.Job, w.vm.FailureDomain}
-	if r.spread[key]--; r.spread[key] <= 0 {
-		delete(r.spread, key)
+	if len(r.domains) > 1 {
+		key := jobDomain{e.Job, w.vm.FailureDomain}
+		if r.spread[key]--; r.spread[key] <= 0 {
+			delete(r.spread, key)
+		}
 	}
 	r.refile(w)
 	if w.gone && len(w.entries) == 0 {
--- a/internal/core/rack/place.go
+++ b/internal/core/rack/place.go
@@ -21,6 +21,9 @@
 	teams  []*teamTurn       // heap
 	misses []model.Resources // sizes that no indexed worker has room for
 	loans  []loan
+	shares []float64   // dominant share per offer
+	turns  []*teamTurn // of which used are in use
+	used   int
 }
 
 // teamTurn is a team's remaining offers within a batch.
@@ -29,6 +32,7 @@
 	turn  fairness.Turn
 	ghost bool
 	queue []int // indexes of offers, or of ghosts, next first
+	space []int // memory of queue
 }
 
 func (b *batch) Len() int           { return len(b.teams) }
@@ -48,7 +52,7 @@
 func (r *Rack) PlaceBatch(offers []Offer, now time.Duration) []Decision {
 	r.Expire(now)
 	decisions := make([]Decision, len(offers))
-	b := newBatch(offers, r.scale, r.policy.Order)
+	b := r.newBatch(offers)
 	r.addClaims(b, now)
 	heap.Init(b)
 	for len(b.teams) > 0 {
@@ -77,30 +81,53 @@
 	return r.PlaceBatch([]Offer{o}, now)[0]
 }
 
-func newBatch(offers []Offer, scale model.Resources, policy fairness.Policy) *batch {
-	b := &batch{policy: policy, offers: offers, byTeam: make(map[model.TeamID]*teamTurn)}
-	var turns []*teamTurn
-	shares := make([]float64, len(offers))
+// newBatch groups the offers by team. It reuses the memory of the last batch.
+func (r *Rack) newBatch(offers []Offer) *batch {
+	b := &r.scratch
+	b.reset(r.policy.Order, offers)
 	for i := range offers {
 		team := offers[i].Permit.Team
 		turn := b.byTeam[team]
 		if turn == nil {
-			turn = &teamTurn{team: team}
+			turn = b.newTurn(team)
 			b.byTeam[team] = turn
-			turns = append(turns, turn)
 		}
-		turn.queue = append(turn.queue, i)
-		shares[i] = offers[i].Size.DominantShare(scale)
+		turn.space = append(turn.space, i)
+		b.shares = append(b.shares, offers[i].Size.DominantShare(r.scale))
 	}
-	for _, turn := range turns {
-		slices.SortFunc(turn.queue, func(i, j int) int { return compareOffers(offers, shares, i, j) })
+	for _, turn := range b.turns[:b.used] {
+		slices.SortFunc(turn.space, b.compare)
 		b.addTurn(turn)
 	}
 	return b
 }
 
+func (b *batch) reset(policy fairness.Policy, offers []Offer) {
+	b.policy, b.offers, b.used = policy, offers, 0
+	b.ghosts = b.ghosts[:0]
+	b.teams = b.teams[:0]
+	b.misses = b.misses[:0]
+	b.loans = b.loans[:0]
+	b.shares = b.shares[:0]
+	if b.byTeam == nil {
+		b.byTeam = make(map[model.TeamID]*teamTurn)
+	}
+	clear(b.byTeam)
+}
+
+func (b *batch) newTurn(team model.TeamID) *teamTurn {
+	if b.used == len(b.turns) {
+		b.turns = append(b.turns, &teamTurn{})
+	}
+	turn := b.turns[b.used]
+	b.used++
+	*turn = teamTurn{team: team, space: turn.space[:0]}
+	return turn
+}
+
 // addTurn lets a team take part from its first offer on.
 func (b *batch) addTurn(turn *teamTurn) {
+	turn.queue = turn.space
 	turn.turn.Team = turn.team
 	b.point(turn, 0)
 	b.teams = append(b.teams, turn)
@@ -121,15 +148,16 @@
 	return b.offers
 }
 
-func compareOffers(offers []Offer, shares []float64, i, j int) int {
-	a, b := &offers[i], &offers[j]
+// compare orders the offers of one team.
+func (b *batch) compare(i, j int) int {
+	x, y := &b.offers[i], &b.offers[j]
 	switch {
-	case a.Urgent != b.Urgent:
-		return before(a.Urgent)
-	case a.Permit.Ratio != b.Permit.Ratio:
-		return before(a.Permit.Ratio < b.Permit.Ratio)
-	case shares[i] != shares[j]:
-		return before(shares[i] > shares[j])
+	case x.Urgent != y.Urgent:
+		return before(x.Urgent)
+	case x.Permit.Ratio != y.Permit.Ratio:
+		return before(x.Permit.Ratio < y.Permit.Ratio)
+	case b.shares[i] != b.shares[j]:
+		return before(b.shares[i] > b.shares[j])
 	default:
 		return i - j
 	}
--- a/internal/core/rack/rack.go
+++ b/internal/core/rack/rack.go
@@ -63,6 +63,7 @@
 	refused   map[model.TaskID]refusal
 	prunedAt  time.Duration // of refused
 	ends      nextEnd
+	scratch   batch
 	health    *health.Fleet
 }
 
@@ -170,6 +171,19 @@
 		r.refile(w)
 	}
 	slices.Sort(r.domains)
+	r.recount()
+}
+
+// recount counts the tasks per job and domain, which only a rack of several
+// domains needs.
+func (r *Rack) recount() {
+	clear(r.spread)
+	if len(r.domains) < 2 {
+		return
+	}
+	for _, e := range r.entries {
+		r.spread[jobDomain{e.Job, e.worker.vm.FailureDomain}]++
+	}
 }
 
 // refile brings the index up to date with the worker's state.
