--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,9 @@
 lint: tools ## Run the linter
 	$(GOBIN)/golangci-lint run ./...
 
+demo: build ## Run the demonstration on loopback (under a minute)
+	bin/balsam-demo
+
 vet: ## Run go vet
 	$(GO) vet ./...
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -21,8 +21,9 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("caller")
 
-// errBroken is a connection that ended before a whole answer came.
-var errBroken = errs.Class("connection broken")
+// ErrBroken is the class of connections that ended before a whole answer came.
+// Its name starts the detail of the Abandoned event.
+var ErrBroken = errs.Class("connection broken")
 
 // errUnsent is a connection that could not be opened.
 var errUnsent = errs.Class("not sent")
@@ -192,12 +193,12 @@
 		if !sent {
 			return Result{}, errUnsent.Wrap(err)
 		}
-		return Result{}, errBroken.Wrap(err)
+		return Result{}, ErrBroken.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return Result{}, errBroken.Wrap(err)
+		return Result{}, ErrBroken.Wrap(err)
 	}
 	return answerOf(response.StatusCode, response.Header, body), nil
 }
--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -150,6 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
+	request.GetBody = nil // every sending is recorded, so net/http must not resend
 	authorize(request, j.Credential, j.Call)
 	request.Header.Set("Content-Type", "application/json")
 	if j.NonIdempotent {
--- a/internal/caller/quick.go
+++ b/internal/caller/quick.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
+	request.GetBody = nil // every sending is recorded, so net/http must not resend
 	authorize(request, q.Credential, q.Call)
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(headerService, string(q.Service))
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -79,7 +81,9 @@
 		return err
 	}
 	defer r.cluster.Close()
-	return r.scenario()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return r.scenario(ctx)
 }
 
 func (r *run) say(format string, args ...any) {
@@ -110,13 +114,13 @@
 }
 
 // scenario runs the load and the operators' and failures' steps beside it.
-func (r *run) scenario() error {
+func (r *run) scenario(ctx context.Context) error {
 	if err := r.publish(); err != nil {
 		return err
 	}
-	loadContext, stopLoad := context.WithCancel(context.Background())
+	loadContext, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
-	jobContext, stopJobs := context.WithCancel(context.Background())
+	jobContext, stopJobs := context.WithCancel(ctx)
 	defer stopJobs()
 	r.load.quotes(loadContext, r.keys["stitch-quotes"], quotesRate)
 	r.load.quotes(loadContext, r.keys["souk-quotes"], soukRate)
@@ -126,7 +130,11 @@
 		if err := step(jobContext); err != nil {
 			return err
 		}
-		time.Sleep(r.options.Step)
+		select {
+		case <-time.After(r.options.Step):
+		case <-ctx.Done():
+			return Error.New("interrupted")
+		}
 	}
 	stopLoad()
 	r.say("no more requests are sent; waiting for what is in flight")
--- a/internal/history/checker.go
+++ b/internal/history/checker.go
@@ -28,8 +28,8 @@
 	ConfigInForce   Promise = "an accepted configuration is in force in time"
 )
 
-// defaultGrace is the time within which a withdrawal takes effect.
-const defaultGrace = 4 * time.Second
+// DefaultGrace is the time within which a withdrawal takes effect.
+const DefaultGrace = 4 * time.Second
 
 // Promises lists all promises in the order of reports.
 func Promises() []Promise {
@@ -97,7 +97,7 @@
 // one recorder keep their order where their times are equal.
 func Check(events []Event, options Options) []Violation {
 	if options.Grace == 0 {
-		options.Grace = defaultGrace
+		options.Grace = DefaultGrace
 	}
 	sorted := append([]Event(nil), events...)
 	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].At.Before(sorted[j].At) })
