Choose racks by what single workers have free; correct sizes by use

Cause: the team's view knew only a rack's largest free amount per dimension, so offers went to racks where no one worker had room; declared sizes were final. Ruled out: reserving less than declared when use is small: a task may use what it declared at any moment, and a worker starts whatever it is given. Change: summaries list rooms, the view of core/candidate picks, one task keeps a job's place at a full rack; reservations grow by what a template used.

--- a/internal/app/rackowner/owner.go
+++ b/internal/app/rackowner/owner.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/host"
+	"github.com/balsamhitch/balsamhitch/internal/core/estimate"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/permit"
 	"github.com/balsamhitch/balsamhitch/internal/core/rack"
@@ -67,6 +68,8 @@
 	starts  map[string]*start // unconfirmed starts by permit id
 	payload map[string]*peerpb.TaskOffer
 	reports *reports
+	learned *estimate.Templates
+	largest model.Resources // what the largest worker holds
 }
 
 var _ host.Partition = (*Owner)(nil)
@@ -93,6 +96,9 @@
 		starts:   map[string]*start{},
 		payload:  map[string]*peerpb.TaskOffer{},
 		reports:  newReports(),
+		// A reservation is never smaller than what was declared: what a task
+		// declared it may use at any moment.
+		learned: estimate.New(estimate.Policy{Floor: 1}),
 	}
 	o.rack.SetDomainOut(func(domain model.FailureDomain) bool {
 		return env.Config().DomainOut(domain)
@@ -149,6 +155,7 @@
 
 func (o *Owner) summary() *peerpb.PartitionSummary {
 	s := o.rack.Summary()
+	o.largest = s.LargestVM
 	return &peerpb.PartitionSummary{
 		Partition:      string(o.id),
 		Epoch:          uint64(o.epoch),
@@ -159,6 +166,7 @@
 		FailureDomains: convert.DomainsPB(s.Domains),
 		Waiting:        int32(len(o.pending)),
 		Vms:            int32(s.VMs),
+		Room:           convert.ResourcesListPB(s.Room),
 	}
 }
 
--- a/internal/app/rackowner/place.go
+++ b/internal/app/rackowner/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/balsamhitch/balsamhitch/internal/core/estimate"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/rack"
 	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
@@ -37,7 +38,7 @@
 
 // enqueue adds an offer to those that wait for a decision.
 func (o *Owner) enqueue(message *peerpb.TaskOffer) *pendingOffer {
-	offer := offerOf(message)
+	offer := o.offerOf(message)
 	p := &pendingOffer{
 		offer:   offer,
 		message: message,
@@ -56,26 +57,64 @@
 	return p
 }
 
-func offerOf(message *peerpb.TaskOffer) rack.Offer {
+// offerOf returns the offer with its size and run time corrected by what tasks
+// of the same template took. The owner is locked.
+func (o *Owner) offerOf(message *peerpb.TaskOffer) rack.Offer {
 	p := convert.Permit(message.GetPermit())
 	avoid := make([]model.VMID, 0, len(message.GetAvoidVms()))
 	for _, vm := range message.GetAvoidVms() {
 		avoid = append(avoid, model.VMID(vm))
 	}
+	name := templateName(p.Team, message.GetTemplate())
+	declaredRun := time.Duration(message.GetExpectedRunMs()) * time.Millisecond
 	return rack.Offer{
 		Permit:      p,
 		Task:        model.TaskID(message.GetTaskId()),
 		Attempt:     int(message.GetAttempt()),
 		Job:         model.JobID(message.GetJobId()),
-		Size:        p.Size,
-		ExpectedRun: time.Duration(message.GetExpectedRunMs()) * time.Millisecond,
+		Size:        o.correctedSize(name, p.Size),
+		ExpectedRun: o.learned.Run(name, declaredRun),
 		Domains:     convert.Domains(message.GetFailureDomains()),
 		Urgent:      message.GetUrgent(),
-		Template:    message.GetTemplate(),
+		Template:    name,
 		Avoid:       avoid,
 	}
 }
 
+// templateName keeps the templates of teams apart.
+func templateName(team model.TeamID, name string) string {
+	return string(team) + "/" + name
+}
+
+// correctedSize returns what to reserve for a task. A correction beyond the
+// largest worker stops there, so that a task that fits as declared still fits.
+func (o *Owner) correctedSize(name string, declared model.Resources) model.Resources {
+	corrected := o.learned.Size(name, declared)
+	if !declared.Fits(o.largest) {
+		return corrected
+	}
+	return model.Resources{
+		MilliCPU:     min(corrected.MilliCPU, o.largest.MilliCPU),
+		MemoryMiB:    min(corrected.MemoryMiB, o.largest.MemoryMiB),
+		Accelerators: corrected.Accelerators,
+		Slots:        corrected.Slots,
+	}
+}
+
+// learn takes over what an ended attempt really took.
+func (o *Owner) learn(held rack.Reservation, status port.TaskStatus, now time.Duration) {
+	if held.Template == "" {
+		return
+	}
+	o.learned.Observe(held.Template, estimate.Sample{
+		Declared:    status.Declared,
+		Peak:        held.Used.Max(status.Used),
+		DeclaredRun: held.ExpectedEnd - held.Placed,
+		Run:         now - held.Placed,
+		Killed:      status.State != port.TaskDone,
+	})
+}
+
 // refusePermit returns why a permit is not good here, or nil.
 func (o *Owner) refusePermit(p model.Permit) *peerpb.Refusal {
 	if p.Partition != o.id || p.PartitionEpoch != o.epoch {
@@ -194,7 +233,7 @@
 		Team:        p.offer.Permit.Team,
 		Permit:      p.offer.Permit.ID,
 		Size:        p.offer.Permit.Size,
-		ExpectedRun: p.offer.ExpectedRun,
+		ExpectedRun: time.Duration(p.message.GetExpectedRunMs()) * time.Millisecond,
 		Epoch:       o.epoch,
 		StartBefore: clock + startWindow,
 		LeaseUntil:  clock + o.lease,
--- a/internal/app/rackowner/serve.go
+++ b/internal/app/rackowner/serve.go
@@ -77,7 +77,7 @@
 	reply := &peerpb.OfferTasksReply{}
 	offers := make([]rack.Offer, 0, len(call.GetTasks()))
 	for _, message := range call.GetTasks() {
-		offer := offerOf(message)
+		offer := o.offerOf(message)
 		if refusal := o.refusePermit(offer.Permit); refusal != nil {
 			reply.Refusal = refusal
 			return reply
@@ -120,7 +120,7 @@
 	for _, id := range call.GetPermitIds() {
 		held, _ := o.rack.Lookup(id)
 		message := o.payload[id]
-		p := &pendingOffer{offer: offerOf(message), message: message, result: make(chan *peerpb.OfferResult, 1)}
+		p := &pendingOffer{offer: o.offerOf(message), message: message, result: make(chan *peerpb.OfferResult, 1)}
 		waiting = append(waiting, p)
 		sends = append(sends, o.prepare(p, held.VM, now))
 	}
--- a/internal/app/rackowner/vm.go
+++ b/internal/app/rackowner/vm.go
@@ -251,6 +251,7 @@
 	case port.TaskRunning, port.TaskCheckpointed, port.TaskExpired:
 	}
 	held, _ := o.rack.Ended(status.Permit, result, now)
+	o.learn(held, status, now)
 	delete(o.starts, status.Permit)
 	delete(o.payload, status.Permit)
 	named := held.Permit
--- a/internal/app/teamowner/gang.go
+++ b/internal/app/teamowner/gang.go
@@ -9,14 +9,15 @@
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
 )
 
-// planGang grants permits for all waiting tasks of a gang, spread over as few
-// racks as hold them. Without room for all it grants none.
+// planGang grants permits for all waiting tasks of a gang. Without room under
+// the upper limit for all it grants none. Racks that seem full are asked too:
+// they may hold workers for the gang.
 func (o *Owner) planGang(candidate team.Candidate) (offerSet, bool) {
 	now := o.env.Clock().Now()
 	job := candidate.Job
 	gang := offerSet{}
 	for range candidate.Waiting {
-		rack, ok := o.view.pickGangRack(job, gang, o.env.Config().DomainOut)
+		rack, _, ok := o.view.pickRack(job, o.env.Config().DomainOut)
 		if !ok {
 			o.takeBack(gang)
 			return nil, false
@@ -26,7 +27,6 @@
 			o.takeBack(gang)
 			return nil, false
 		}
-		rack.free = rack.free.Sub(job.Size)
 		gang[rack.id] = append(gang[rack.id], offer)
 		o.offered++
 	}
@@ -46,16 +46,6 @@
 	}
 }
 
-// pickGangRack prefers racks that already hold a part of the gang.
-func (v *capacityView) pickGangRack(job model.Job, gang offerSet, domainOut func(model.FailureDomain) bool) (*place, bool) {
-	for _, p := range v.racks {
-		if len(gang[p.id]) > 0 && job.Size.Fits(p.free) && p.allows(job, domainOut) {
-			return p, true
-		}
-	}
-	return v.pickRack(job, domainOut)
-}
-
 // startGang reserves a gang on its racks and commits it if all of them agree.
 func (o *Owner) startGang(ctx context.Context, gang offerSet) {
 	var all []team.TaskOffer
--- a/internal/app/teamowner/owner.go
+++ b/internal/app/teamowner/owner.go
@@ -89,6 +89,7 @@
 		appended: map[string]chan core.Event{},
 		querying: map[model.PartitionID]bool{},
 		saved:    make(chan struct{}),
+		view:     newCapacityView(uint64(epoch)),
 	}
 }
 
--- a/internal/app/teamowner/schedule.go
+++ b/internal/app/teamowner/schedule.go
@@ -77,7 +77,7 @@
 	job := candidate.Job
 	domainOut := o.env.Config().DomainOut
 	for range min(candidate.Waiting, maxPerJob) {
-		rack, ok := o.view.pickRack(job, domainOut)
+		rack, room, ok := o.view.pickRack(job, domainOut)
 		if !ok {
 			o.state.Delay(job.ID, now)
 			return
@@ -86,9 +86,14 @@
 		if err != nil {
 			return
 		}
-		rack.free = rack.free.Sub(job.Size)
 		offers[rack.id] = append(offers[rack.id], offer)
 		o.offered++
+		if !room {
+			// One task keeps the job's place at a full rack, which may hold a
+			// worker for it; more would only carry permits around.
+			o.state.Delay(job.ID, now)
+			return
+		}
 	}
 }
 
@@ -197,7 +202,7 @@
 		}
 	}
 	if reply.GetSummary() != nil {
-		o.view.update(reply.GetSummary())
+		o.view.update(reply.GetSummary(), o.state.Ledger().Epoch)
 	}
 	o.signal(o.wake)
 }
--- a/internal/app/teamowner/settle.go
+++ b/internal/app/teamowner/settle.go
@@ -30,7 +30,7 @@
 		ledger.Expect(id, bound)
 		o.noticeHolder(id, bound)
 	}
-	o.view = newView(racks, targets, ledger.Epoch)
+	o.view.refresh(racks, targets, ledger.Epoch)
 	o.state.SetTotal(o.view.total)
 	now := o.env.Clock().Now()
 	unsettled := ledger.Unsettled()
--- a/internal/app/teamowner/view.go
+++ b/internal/app/teamowner/view.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/balsamhitch/balsamhitch/internal/core/candidate"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
@@ -12,43 +13,76 @@
 // place is a partition that work can be sent to, by its last summary and what
 // has been sent since.
 type place struct {
-	id          model.PartitionID
-	epoch       model.Epoch
-	free        model.Resources
-	largestFree model.Resources
-	largestVM   model.Resources
-	domains     []model.FailureDomain
-	waiting     int
+	summary   *peerpb.PartitionSummary
+	id        model.PartitionID
+	epoch     model.Epoch
+	free      model.Resources
+	largestVM model.Resources
+	domains   []model.FailureDomain
+	waiting   int
 }
 
 // capacityView is the owner's lagging view of free capacity. The owner's lock
 // guards it.
 type capacityView struct {
-	racks   []*place
+	racks   map[model.PartitionID]*place
+	picker  *candidate.View
 	targets map[model.ServiceID][]*place
 	total   model.Resources
 }
 
+func newCapacityView(seed uint64) capacityView {
+	return capacityView{
+		racks:   map[model.PartitionID]*place{},
+		picker:  candidate.NewView(seed),
+		targets: map[model.ServiceID][]*place{},
+	}
+}
+
 // settledEpoch tells for which epoch permits can be granted on a partition.
 type settledEpoch func(model.PartitionID) (model.Epoch, bool)
 
-// newView builds a view of the partitions that permits can be granted on.
-func newView(racks, targets []*peerpb.PartitionSummary, settled settledEpoch) capacityView {
-	view := capacityView{targets: map[model.ServiceID][]*place{}}
+// refresh takes over the newest summaries of the partitions that permits can
+// be granted on.
+func (v *capacityView) refresh(racks, targets []*peerpb.PartitionSummary, settled settledEpoch) {
+	v.total = model.Resources{}
+	listed := make(map[model.PartitionID]bool, len(racks))
 	for _, summary := range racks {
-		view.total = view.total.Add(convert.Resources(summary.GetCapacity()))
+		v.total = v.total.Add(convert.Resources(summary.GetCapacity()))
 		if p := newPlace(summary, settled); p != nil {
-			view.racks = append(view.racks, p)
+			listed[p.id] = true
+			v.setRack(p)
+		}
+	}
+	for id := range v.racks {
+		if !listed[id] {
+			delete(v.racks, id)
+			v.picker.Remove(id)
 		}
 	}
+	v.targets = map[model.ServiceID][]*place{}
 	for _, summary := range targets {
-		view.total = view.total.Add(convert.Resources(summary.GetCapacity()))
+		v.total = v.total.Add(convert.Resources(summary.GetCapacity()))
 		if p := newPlace(summary, settled); p != nil {
 			service := p.service()
-			view.targets[service] = append(view.targets[service], p)
+			v.targets[service] = append(v.targets[service], p)
 		}
 	}
-	return view
+}
+
+// setRack replaces a rack's summary by a newer one. The same one again changes
+// nothing, so that what has been offered since stays deducted.
+func (v *capacityView) setRack(p *place) {
+	if known := v.racks[p.id]; known != nil && known.summary == p.summary {
+		return
+	}
+	v.racks[p.id] = p
+	v.picker.Update(candidate.Rack{
+		Partition: p.id,
+		Room:      convert.ResourcesList(p.summary.GetRoom()),
+		LargestVM: p.largestVM,
+		Domains:   p.domains,
+	})
 }
 
 func newPlace(summary *peerpb.PartitionSummary, settled settledEpoch) *place {
@@ -58,13 +92,13 @@
 		return nil
 	}
 	return &place{
-		id:          id,
-		epoch:       epoch,
-		free:        convert.Resources(summary.GetFree()),
-		largestFree: convert.Resources(summary.GetLargestFree()),
-		largestVM:   convert.Resources(summary.GetLargestVm()),
-		domains:     convert.Domains(summary.GetFailureDomains()),
-		waiting:     int(summary.GetWaiting()),
+		summary:   summary,
+		id:        id,
+		epoch:     epoch,
+		free:      convert.Resources(summary.GetFree()),
+		largestVM: convert.Resources(summary.GetLargestVm()),
+		domains:   convert.Domains(summary.GetFailureDomains()),
+		waiting:   int(summary.GetWaiting()),
 	}
 }
 
@@ -125,24 +159,21 @@
 	return a
 }
 
-// pickRack returns the emptier of two random racks on which a task of the job
-// fits, by the last summaries.
-func (v *capacityView) pickRack(job model.Job, domainOut func(model.FailureDomain) bool) (*place, bool) {
-	var fitting []*place
-	for _, p := range v.racks {
-		if job.Size.Fits(p.largestFree) && job.Size.Fits(p.free) && p.allows(job, domainOut) {
-			fitting = append(fitting, p)
-		}
-	}
-	if len(fitting) == 0 {
-		return nil, false
-	}
-	a := fitting[rand.IntN(len(fitting))]
-	b := fitting[rand.IntN(len(fitting))]
-	if b.free.DominantShare(v.total) > a.free.DominantShare(v.total) {
-		return b, true
-	}
-	return a, true
+// pickRack returns the rack that a task of the job is offered to, and whether
+// it had room by the last summaries.
+func (v *capacityView) pickRack(job model.Job, domainOut func(model.FailureDomain) bool) (rack *place, room, ok bool) {
+	ids := v.picker.Pick(candidate.Query{
+		Size:    job.Size,
+		Domains: job.FailureDomains,
+		Out:     domainOut,
+	}, 1)
+	if len(ids) == 0 || v.racks[ids[0]] == nil {
+		return nil, false, false
+	}
+	rack = v.racks[ids[0]]
+	room = v.picker.HasRoom(rack.id, job.Size)
+	v.picker.Take(rack.id, job.Size)
+	return rack, room, true
 }
 
 // canEverFit reports whether any rack has a VM that an empty fleet would run a
@@ -152,7 +183,7 @@
 		return true
 	}
 	for _, p := range v.racks {
-		if job.Size.Fits(p.largestVM) && p.allows(job, nil) {
+		if job.Size.Fits(p.largestVM) && p.allows(job) {
 			return true
 		}
 	}
@@ -160,11 +191,8 @@
 }
 
 // allows reports whether one of the rack's failure domains suits the job.
-func (p *place) allows(job model.Job, domainOut func(model.FailureDomain) bool) bool {
+func (p *place) allows(job model.Job) bool {
 	for _, domain := range p.domains {
-		if domainOut != nil && domainOut(domain) {
-			continue
-		}
 		if job.AllowsDomain(domain) {
 			return true
 		}
@@ -173,11 +201,8 @@
 }
 
 // update replaces what is known of a rack by a newer summary.
-func (v *capacityView) update(summary *peerpb.PartitionSummary) {
-	for _, p := range v.racks {
-		if string(p.id) == summary.GetPartition() && uint64(p.epoch) == summary.GetEpoch() {
-			p.free = convert.Resources(summary.GetFree())
-			p.largestFree = convert.Resources(summary.GetLargestFree())
-		}
+func (v *capacityView) update(summary *peerpb.PartitionSummary, settled settledEpoch) {
+	if p := newPlace(summary, settled); p != nil {
+		v.setRack(p)
 	}
 }
--- a/internal/core/candidate/candidate.go
+++ b/internal/core/candidate/candidate.go
@@ -106,6 +106,13 @@
 	}
 }
 
+// HasRoom reports whether the size fits a worker of the rack by its last
+// summary, less what was taken since.
+func (v *View) HasRoom(partition model.PartitionID, size model.Resources) bool {
+	f := v.racks[partition]
+	return f != nil && f.tightest(size) >= 0
+}
+
 // tightest returns the index of the room that the size fits best, or -1.
 func (r *Rack) tightest(size model.Resources) int {
 	best, least := -1, 0.0
--- a/internal/core/team/tasks.go
+++ b/internal/core/team/tasks.go
@@ -88,6 +88,7 @@
 		return
 	}
 	j.refusals = 0
+	j.notBefore = 0
 	if j.tasks[index].state == TaskOffered {
 		j.set(index, TaskRunning)
 	}
--- a/internal/pb/convert/convert.go
+++ b/internal/pb/convert/convert.go
@@ -29,6 +29,24 @@
 	}
 }
 
+// ResourcesList returns the core's form of a list of amounts.
+func ResourcesList(list []*peerpb.Resources) []model.Resources {
+	amounts := make([]model.Resources, 0, len(list))
+	for _, r := range list {
+		amounts = append(amounts, Resources(r))
+	}
+	return amounts
+}
+
+// ResourcesListPB returns the message form of a list of amounts.
+func ResourcesListPB(list []model.Resources) []*peerpb.Resources {
+	amounts := make([]*peerpb.Resources, 0, len(list))
+	for _, r := range list {
+		amounts = append(amounts, ResourcesPB(r))
+	}
+	return amounts
+}
+
 // Permit returns the core's form of p.
 func Permit(p *peerpb.Permit) model.Permit {
 	return model.Permit{
