--- a/internal/core/journal/fold.go
+++ b/internal/core/journal/fold.go
@@ -143,7 +143,7 @@
 	if state == nil {
 		return nil
 	}
-	jobs := make([]*JobState, 0, len(state.order))
+	var jobs []*JobState
 	for _, id := range state.order {
 		if job := state.jobs[id]; job != nil {
 			jobs = append(jobs, job)
