Count calls in flight with one counter that ends before it drains

Cause: a WaitGroup was added to while Drain waited on it, which its rules forbid, and a draining rack still placed parked offers. Ruled out: a lock around the WaitGroup; the counter is smaller than that. Change: inflight.Counter refuses calls once draining; rack and team use it.

--- a/internal/app/rackowner/owner.go
+++ b/internal/app/rackowner/owner.go
@@ -5,13 +5,13 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/host"
+	"github.com/balsamhitch/balsamhitch/internal/app/inflight"
 	"github.com/balsamhitch/balsamhitch/internal/core/estimate"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/permit"
@@ -56,8 +56,7 @@
 	logger   *logrus.Entry
 	acquired time.Duration // reading at which the tenure began
 
-	draining atomic.Bool
-	inFlight sync.WaitGroup
+	inFlight inflight.Counter // starts on their way to workers
 	wake     chan struct{} // asks for a placement pass
 
 	mu      sync.Mutex
@@ -134,16 +133,7 @@
 
 // Drain refuses new offers and waits for starts in flight.
 func (o *Owner) Drain(ctx context.Context) {
-	o.draining.Store(true)
-	done := make(chan struct{})
-	go func() {
-		o.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	o.inFlight.Drain(ctx)
 }
 
 // Summary reports the rack's free capacity.
--- a/internal/app/rackowner/place.go
+++ b/internal/app/rackowner/place.go
@@ -132,7 +132,7 @@
 
 // place decides about all offers that wait and starts what found a worker.
 func (o *Owner) place(ctx context.Context) {
-	if !o.mayAct() || !o.env.ConfigFresh() {
+	if o.inFlight.Draining() || !o.mayAct() || !o.env.ConfigFresh() {
 		o.refusePending()
 		return
 	}
@@ -193,7 +193,7 @@
 		switch {
 		case decision.Reserved:
 			sends = append(sends, o.prepare(p, decision.VM, now))
-		case mayPark(decision.Reason) && now-p.arrived < parkTime && !o.draining.Load():
+		case mayPark(decision.Reason) && now-p.arrived < parkTime:
 			o.pending = append(o.pending, p)
 		default:
 			p.refuse(refusalOf(decision))
@@ -241,12 +241,16 @@
 	}
 	state.until = max(state.until, message.LeaseUntil)
 	o.starts[p.offer.Permit.ID] = &start{before: message.StartBefore}
-	o.inFlight.Add(1)
 	return sending{pending: p, vm: state.vm, message: message}
 }
 
 // send starts a reserved attempt on its worker and answers the offer.
 func (o *Owner) send(ctx context.Context, s sending) {
+	if !o.inFlight.Begin() {
+		o.notStarted(s, port.NotStarted.New("the rack changes its owner"))
+		return
+	}
+	defer o.inFlight.End()
 	if !o.mayAct() || !o.env.ConfigFresh() || o.env.Config().DomainOut(s.vm.FailureDomain) {
 		o.notStarted(s, port.NotStarted.New("not allowed to start any more"))
 		return
@@ -265,7 +269,6 @@
 }
 
 func (o *Owner) confirmed(s sending) {
-	defer o.inFlight.Done()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.env.Clock().Now()
@@ -282,7 +285,6 @@
 }
 
 func (o *Owner) notStarted(s sending, err error) {
-	defer o.inFlight.Done()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.starts, s.message.Permit)
@@ -293,7 +295,6 @@
 // unconfirmed keeps the reservation until the worker's reports tell whether
 // the attempt runs.
 func (o *Owner) unconfirmed(s sending, err error) {
-	defer o.inFlight.Done()
 	o.logger.WithError(err).WithField("vm", s.vm.ID).Warn("Start was not confirmed.")
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/app/rackowner/serve.go
+++ b/internal/app/rackowner/serve.go
@@ -16,7 +16,7 @@
 	if body, ok := request.GetBody().(*peerpb.Request_UsageQuery); ok {
 		return &peerpb.Response{Body: &peerpb.Response_Usage{Usage: o.usage(body.UsageQuery)}}
 	}
-	if o.draining.Load() || !o.mayAct() {
+	if o.inFlight.Draining() || !o.mayAct() {
 		return host.Refusal(request, convert.Refuse(peerpb.Refusal_NOT_OWNER, "the rack changes its owner"))
 	}
 	switch body := request.GetBody().(type) {
--- a/internal/app/teamowner/owner.go
+++ b/internal/app/teamowner/owner.go
@@ -5,13 +5,13 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/host"
+	"github.com/balsamhitch/balsamhitch/internal/app/inflight"
 	"github.com/balsamhitch/balsamhitch/internal/app/journal"
 	core "github.com/balsamhitch/balsamhitch/internal/core/journal"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -49,9 +49,8 @@
 	pool    *ants.Pool
 	logger  *logrus.Entry
 
-	started  time.Time   // wall time at which the tenure began
-	draining atomic.Bool // set once the partition is being handed over
-	inFlight sync.WaitGroup
+	started  time.Time // wall time at which the tenure began
+	inFlight inflight.Counter
 	ready    chan struct{} // closed once the journal has been taken over
 	wake     chan struct{} // asks for a scheduling pass
 	flush    chan struct{} // asks for an append of ended tasks
@@ -123,16 +122,7 @@
 
 // Drain refuses new requests and jobs and waits for calls in flight.
 func (o *Owner) Drain(ctx context.Context) {
-	o.draining.Store(true)
-	done := make(chan struct{})
-	go func() {
-		o.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	o.inFlight.Drain(ctx)
 }
 
 // Summary is nil: a team offers no capacity.
--- a/internal/app/teamowner/quick.go
+++ b/internal/app/teamowner/quick.go
@@ -147,7 +147,7 @@
 		if err != nil {
 			return refuseQuick(peerpb.Refusal_DEADLINE, "no room under the upper limit before the deadline")
 		}
-		if o.draining.Load() || !o.mayAct() {
+		if o.inFlight.Draining() || !o.mayAct() {
 			return refuseQuick(peerpb.Refusal_NOT_OWNER, "the team changes its owner")
 		}
 		myTurn = told
--- a/internal/app/teamowner/schedule.go
+++ b/internal/app/teamowner/schedule.go
@@ -25,7 +25,7 @@
 
 // schedule offers waiting tasks to racks.
 func (o *Owner) schedule(ctx context.Context) {
-	if o.draining.Load() || !o.mayAct() || !o.env.ConfigFresh() {
+	if o.inFlight.Draining() || !o.mayAct() || !o.env.ConfigFresh() {
 		return
 	}
 	offers, gangs := o.plan()
--- a/internal/app/teamowner/serve.go
+++ b/internal/app/teamowner/serve.go
@@ -26,8 +26,6 @@
 
 // Serve answers the calls for the team.
 func (o *Owner) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
-	o.inFlight.Add(1)
-	defer o.inFlight.Done()
 	select {
 	case <-o.ready:
 	case <-ctx.Done():
@@ -41,8 +39,13 @@
 	case *peerpb.Request_GetJob:
 		return o.getJob(body.GetJob)
 	}
-	if o.draining.Load() || !o.mayAct() {
-		return host.Refusal(request, convert.RefuseAfter(peerpb.Refusal_NOT_OWNER, "the team changes its owner", retryAfterTakeover))
+	refusal := convert.RefuseAfter(peerpb.Refusal_NOT_OWNER, "the team changes its owner", retryAfterTakeover)
+	if !o.inFlight.Begin() {
+		return host.Refusal(request, refusal)
+	}
+	defer o.inFlight.End()
+	if !o.mayAct() {
+		return host.Refusal(request, refusal)
 	}
 	switch body := request.GetBody().(type) {
 	case *peerpb.Request_AdmitQuick:
