--- a/internal/app/rackowner/owner.go
+++ b/internal/app/rackowner/owner.go
@@ -57,7 +57,7 @@
 	acquired time.Duration // reading at which the tenure began
 
 	inFlight inflight.Counter // starts on their way to workers
-	wake     chan struct{} // asks for a placement pass
+	wake     chan struct{}    // asks for a placement pass
 
 	mu      sync.Mutex
 	rack    *rack.Rack
