--- /dev/null
+++ b/internal/app/sched/env.go
@@ -0,0 +1,196 @@
+// Package sched wires one balsam-sched process: membership, configuration, the
+// journal and the partitions that it holds.
+package sched
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/host"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+const (
+	// listEvery is the time between reads of the VM list.
+	listEvery = 300 * time.Millisecond
+	// listTimeout bounds one read of the VM list.
+	listTimeout = 2 * time.Second
+	// summaryTTL is how long a summary that is not renewed counts.
+	summaryTTL = 2 * time.Second
+)
+
+// vmCache keeps the last read VM list.
+type vmCache struct {
+	list   port.VMList
+	logger *logrus.Entry
+
+	mu   sync.RWMutex
+	vms  []model.VM
+	read bool
+}
+
+func (c *vmCache) run(ctx context.Context) {
+	ticker := time.NewTicker(listEvery)
+	defer ticker.Stop()
+	for {
+		c.refresh(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// refresh keeps the former list when the platform does not answer.
+func (c *vmCache) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	vms, err := c.list.List(ctx)
+	if err != nil {
+		c.logger.WithError(err).Debug("VM list was not read.")
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.vms = vms
+	c.read = true
+}
+
+// VMs returns the last read list; callers must not change it.
+func (c *vmCache) VMs() []model.VM {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.vms
+}
+
+// gone reports whether the list has been read and does not have the entry VM
+// of a peer address any more. The list names VMs by host; entry VMs may run
+// several programs.
+func (c *vmCache) gone(address string) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	listed := false
+	for _, vm := range c.vms {
+		if vm.Role != model.RoleEntry {
+			continue
+		}
+		listed = true
+		if vm.Address == address {
+			return false
+		}
+	}
+	return listed
+}
+
+// ready reports whether the list has been read once.
+func (c *vmCache) ready() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.read
+}
+
+// heardSummary is a partition's report and when it arrived.
+type heardSummary struct {
+	summary *peerpb.PartitionSummary
+	at      time.Duration
+}
+
+// summaryCache keeps the last report of every partition.
+type summaryCache struct {
+	clock port.Clock
+
+	mu    sync.RWMutex
+	heard map[model.PartitionID]heardSummary
+}
+
+func newSummaryCache(clock port.Clock) *summaryCache {
+	return &summaryCache{clock: clock, heard: map[model.PartitionID]heardSummary{}}
+}
+
+// add takes over reports, but none of a former holder.
+func (c *summaryCache) add(summaries []*peerpb.PartitionSummary) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	for _, summary := range summaries {
+		id := model.PartitionID(summary.GetPartition())
+		if known := c.heard[id].summary; known.GetEpoch() > summary.GetEpoch() {
+			continue
+		}
+		c.heard[id] = heardSummary{summary: summary, at: now}
+	}
+}
+
+// Summaries returns the reports of a kind that are not too old.
+func (c *summaryCache) Summaries(kind model.PartitionKind) []*peerpb.PartitionSummary {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	now := c.clock.Now()
+	var found []*peerpb.PartitionSummary
+	for id, heard := range c.heard {
+		if id.Kind() == kind && now-heard.at < summaryTTL {
+			found = append(found, heard.summary)
+		}
+	}
+	return found
+}
+
+// localPeer answers calls to the process's own address without the network.
+type localPeer struct {
+	port.Peer
+	address string
+	handler port.PeerHandler
+}
+
+// Call implements port.Peer.
+func (p *localPeer) Call(ctx context.Context, address string, request *peerpb.Request) (*peerpb.Response, error) {
+	if address == p.address {
+		return p.handler.Serve(ctx, request), nil
+	}
+	return p.Peer.Call(ctx, address, request)
+}
+
+// env is the environment of the partitions.
+type env struct {
+	*vmCache
+	*summaryCache
+	sched *Sched
+}
+
+var _ host.Env = env{}
+
+// Owner implements host.Directory.
+func (e env) Owner(id model.PartitionID) (string, model.Epoch, bool) {
+	return e.sched.member.Owner(id)
+}
+
+// MayAct implements host.Env.
+func (e env) MayAct(id model.PartitionID, epoch model.Epoch) bool {
+	return e.sched.member.MayAct(id, epoch)
+}
+
+// Config implements host.Env.
+func (e env) Config() host.Config {
+	return e.sched.config.Snapshot()
+}
+
+// ConfigFresh implements host.Env.
+func (e env) ConfigFresh() bool {
+	return e.sched.config.Fresh()
+}
+
+// Peer implements host.Env.
+func (e env) Peer() port.Peer {
+	return e.sched.peer
+}
+
+// Clock implements host.Env.
+func (e env) Clock() port.Clock {
+	return e.sched.clock
+}
--- /dev/null
+++ b/internal/app/sched/sched.go
@@ -0,0 +1,199 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/configwatch"
+	"github.com/balsamhitch/balsamhitch/internal/app/host"
+	"github.com/balsamhitch/balsamhitch/internal/app/journal"
+	"github.com/balsamhitch/balsamhitch/internal/app/membership"
+	"github.com/balsamhitch/balsamhitch/internal/app/rackowner"
+	"github.com/balsamhitch/balsamhitch/internal/app/targets"
+	"github.com/balsamhitch/balsamhitch/internal/app/teamowner"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("sched")
+
+const (
+	// poolSize bounds the calls in flight to workers and other members.
+	poolSize = 20000
+	// journalEvery and journalAge tell when the journal is due for a
+	// checkpoint: by records and by time.
+	journalEvery = 5000 // records
+	journalAge   = 5 * time.Minute
+	// checkpointLook is the time between looks at whether one is due.
+	checkpointLook = 5 * time.Second
+)
+
+// Options are the adapters and settings of a scheduler.
+type Options struct {
+	ID      model.MemberID
+	Address string // of this process, for peers
+	Domain  model.FailureDomain
+	Log     port.Log
+	VMList  port.VMList
+	Worker  port.Worker
+	Runner  port.Runner
+	Peer    port.Peer
+	Clock   port.Clock
+	Logger  *logrus.Entry
+	// FreshFor is how long a configuration snapshot may be used after it was
+	// certainly the newest.
+	FreshFor  time.Duration
+	TaskLease time.Duration // of tasks on workers; zero for the default
+	// Lease, RenewEvery and DriftMargin are those of partitions.
+	Lease       time.Duration
+	RenewEvery  time.Duration
+	DriftMargin time.Duration
+}
+
+// Sched is one balsam-sched process. It is safe for concurrent use.
+type Sched struct {
+	id        model.MemberID
+	clock     port.Clock
+	logger    *logrus.Entry
+	pool      *ants.Pool
+	peer      port.Peer
+	member    *membership.Member
+	config    *configwatch.Watcher
+	journal   *journal.Journal
+	manager   *host.Manager
+	vms       *vmCache
+	summaries *summaryCache
+}
+
+// New returns a scheduler that Run starts.
+func New(options Options) (*Sched, error) {
+	pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	s := &Sched{
+		id:        options.ID,
+		clock:     options.Clock,
+		logger:    options.Logger.WithField("part", "sched"),
+		pool:      pool,
+		journal:   journal.New(options.Log, options.Logger),
+		vms:       &vmCache{list: options.VMList, logger: options.Logger.WithField("part", "vms")},
+		summaries: newSummaryCache(options.Clock),
+	}
+	s.config = configwatch.New(configwatch.Options{
+		Log:      options.Log,
+		Clock:    options.Clock,
+		Peer:     options.Peer,
+		Members:  s.others,
+		FreshFor: options.FreshFor,
+		Logger:   options.Logger,
+	})
+	s.peer = &localPeer{Peer: options.Peer, address: options.Address, handler: s}
+	e := env{vmCache: s.vms, summaryCache: s.summaries, sched: s}
+	s.manager = host.NewManager(e, s.factories(options), options.Logger)
+	s.member = membership.New(s.memberOptions(options))
+	return s, nil
+}
+
+func (s *Sched) memberOptions(options Options) membership.Options {
+	return membership.Options{
+		ID:          options.ID,
+		Address:     options.Address,
+		Domain:      options.Domain,
+		Log:         options.Log,
+		Clock:       options.Clock,
+		Peer:        s.peer,
+		VMs:         s.vms.VMs,
+		Wanted:      s.wanted,
+		Lease:       options.Lease,
+		RenewEvery:  options.RenewEvery,
+		DriftMargin: options.DriftMargin,
+		Acquired:    s.manager.Acquired,
+		Lost:        s.manager.Lost,
+		Drain:       s.manager.Drain,
+		Logger:      options.Logger,
+	}
+}
+
+func (s *Sched) factories(options Options) map[model.PartitionKind]host.Factory {
+	return map[model.PartitionKind]host.Factory{
+		model.KindSystem: func(id model.PartitionID, epoch model.Epoch, e host.Env) host.Partition {
+			return newSystemPartition(id, epoch, e, s)
+		},
+		model.KindTeam: func(id model.PartitionID, epoch model.Epoch, e host.Env) host.Partition {
+			return teamowner.New(id, epoch, e, teamowner.Options{
+				Journal: s.journal,
+				Pool:    s.pool,
+				Logger:  options.Logger,
+			})
+		},
+		model.KindRack: func(id model.PartitionID, epoch model.Epoch, e host.Env) host.Partition {
+			return rackowner.New(id, epoch, e, rackowner.Options{
+				Worker: options.Worker,
+				Pool:   s.pool,
+				Lease:  options.TaskLease,
+				Logger: options.Logger,
+			})
+		},
+		model.KindTargets: func(id model.PartitionID, epoch model.Epoch, e host.Env) host.Partition {
+			return targets.New(id, epoch, e, targets.Options{Runner: options.Runner, Logger: options.Logger})
+		},
+	}
+}
+
+// Run works until the context ends. It returns an error when the process has
+// lost track of the log and must start anew.
+func (s *Sched) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.journal.Run(ctx) })
+	group.Go(func() error { return s.config.Run(ctx) })
+	group.Go(func() error { s.vms.run(ctx); return nil })
+	group.Go(func() error { s.summariesLoop(ctx); return nil })
+	group.Go(func() error { return s.joinWhenReady(ctx) })
+	err := group.Wait()
+	s.manager.Stop(context.Background())
+	s.pool.Release()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return Error.Wrap(err)
+}
+
+// joinWhenReady joins only with a whole configuration, VM list and journal, so
+// that a fresh process never takes partitions that it cannot serve.
+func (s *Sched) joinWhenReady(ctx context.Context) error {
+	if err := s.journal.WaitReady(ctx); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(readyLook)
+	defer ticker.Stop()
+	for !s.config.Ready() || !s.vms.ready() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	s.logger.Info("Joining.")
+	return s.member.Run(ctx)
+}
+
+// readyLook is the time between looks at whether all has been read.
+const readyLook = 20 * time.Millisecond
+
+// Ready reports whether the process takes part.
+func (s *Sched) Ready() bool {
+	return s.config.Ready() && s.journal.Ready() && s.member.Ready()
+}
+
+// Leave hands all partitions over and leaves the cluster.
+func (s *Sched) Leave(ctx context.Context) error {
+	return Error.Wrap(s.member.HandoverAll(ctx))
+}
--- /dev/null
+++ b/internal/app/sched/system.go
@@ -0,0 +1,63 @@
+package sched
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/host"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+)
+
+// systemPartition writes the checkpoints of the journal and configuration.
+type systemPartition struct {
+	id    model.PartitionID
+	epoch model.Epoch
+	env   host.Env
+	sched *Sched
+}
+
+var _ host.Partition = (*systemPartition)(nil)
+
+func newSystemPartition(id model.PartitionID, epoch model.Epoch, env host.Env, s *Sched) *systemPartition {
+	return &systemPartition{id: id, epoch: epoch, env: env, sched: s}
+}
+
+// Run writes checkpoints when they are due. Two processes that write one do no
+// harm: each is a fold of the log up to the offset that it names.
+func (p *systemPartition) Run(ctx context.Context) {
+	go p.sched.config.KeepCheckpoints(ctx)
+	ticker := time.NewTicker(checkpointLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.checkpoint(ctx)
+		}
+	}
+}
+
+func (p *systemPartition) checkpoint(ctx context.Context) {
+	if !p.env.MayAct(p.id, p.epoch) {
+		return
+	}
+	if err := p.sched.journal.Checkpoint(ctx, journalEvery, journalAge); err != nil {
+		p.sched.logger.WithError(err).Warn("Journal checkpoint was not confirmed.")
+	}
+}
+
+// Drain has nothing to wait for.
+func (p *systemPartition) Drain(context.Context) {}
+
+// Summary is nil: the partition offers no capacity.
+func (p *systemPartition) Summary() *peerpb.PartitionSummary {
+	return nil
+}
+
+// Serve refuses: nothing is asked of the system partition.
+func (p *systemPartition) Serve(_ context.Context, request *peerpb.Request) *peerpb.Response {
+	return host.Refusal(request, convert.Refuse(peerpb.Refusal_INVALID, "the system partition answers no calls"))
+}
--- /dev/null
+++ b/internal/app/schedmain/main.go
@@ -0,0 +1,102 @@
+// Package schedmain is the program balsam-sched without its command line.
+package schedmain
+
+import (
+	"context"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/logclient"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/peer"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/runnerclient"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/settings"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/sysclock"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/vmclient"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/workerclient"
+	"github.com/balsamhitch/balsamhitch/internal/app/logging"
+	"github.com/balsamhitch/balsamhitch/internal/app/probe"
+	"github.com/balsamhitch/balsamhitch/internal/app/sched"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+// runnerConnections bounds the connections to one runner.
+const runnerConnections = 64
+
+// Run runs the program until the context ends, then hands its partitions over.
+func Run(ctx context.Context, options settings.Sched) error {
+	logger, err := logging.New("balsam-sched", options.Log)
+	if err != nil {
+		return err
+	}
+	id := options.Member
+	if id == "" {
+		id = ulid.Make().String()
+	}
+	logger = logger.WithField("member", id)
+	clock := sysclock.Clock{}
+	log := logclient.New(options.Platform.Log)
+	client := peer.New(peer.Options{MaxFrame: int(options.Limits.MaxMessage), Logger: logger})
+	defer func() { _ = client.Close() }()
+	s, err := sched.New(sched.Options{
+		ID:          model.MemberID(id),
+		Address:     options.Address,
+		Domain:      model.FailureDomain(options.FailureDomain),
+		Log:         log,
+		VMList:      vmclient.New(options.Platform.VMList),
+		Worker:      workerclient.New(),
+		Runner:      runnerclient.New(runnerConnections),
+		Peer:        client,
+		Clock:       clock,
+		FreshFor:    options.Config.FreshFor,
+		Logger:      logger,
+		Lease:       options.Lease.Duration,
+		RenewEvery:  options.Lease.Renew,
+		DriftMargin: options.Lease.Drift,
+	})
+	if err != nil {
+		return err
+	}
+	return serve(ctx, s, options, logger)
+}
+
+// serve runs the scheduler and its servers. On the end of the context it first
+// hands all partitions over and only then stops answering.
+func serve(ctx context.Context, s *sched.Sched, options settings.Sched, logger *logrus.Entry) error {
+	server, err := peer.Listen(options.Address, s, peer.Options{
+		MaxFrame: int(options.Limits.MaxMessage),
+		Logger:   logger,
+	})
+	if err != nil {
+		return err
+	}
+	probes := probe.New(options.MetricsAddress, s.Ready)
+	failed := make(chan error, 2)
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { failed <- s.Run(running) }()
+	go func() { failed <- probes.Run() }()
+	logger.WithField("address", options.Address).Info("Started.")
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		logger.Info("Leaving.")
+		err = leave(s, options, logger)
+	}
+	stopping, stop := context.WithTimeout(context.Background(), options.Limits.DrainTimeout)
+	defer stop()
+	err = errs.Combine(err, server.Shutdown(stopping), probes.Shutdown(stopping))
+	logger.Info("Stopped.")
+	return err
+}
+
+func leave(s *sched.Sched, options settings.Sched, logger *logrus.Entry) error {
+	ctx, cancel := context.WithTimeout(context.Background(), options.Limits.DrainTimeout)
+	defer cancel()
+	if err := s.Leave(ctx); err != nil {
+		// Others take the partitions over once the lease has run out.
+		logger.WithError(err).Warn("Partitions were not handed over.")
+	}
+	return nil
+}
