Measure the slopes of each role

Ruled out: timing whole cells at several sizes; one machine holds too few. Change: balsam-capacity fits lines through three to five sizes of state, time and bytes for each role.

--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,57 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Measurement is a slope and what it is needed for.
+type Measurement struct {
+	Role  string
+	Slope Slope
+}
+
+// Measure takes all measurements. It uses one core, under 500 MB of memory and
+// loopback connections to itself.
+func Measure() []Measurement {
+	return []Measurement{
+		{"all processes", ownershipMemory()},
+		{"all processes", renewalTime()},
+		{"all processes", renewalBytes()},
+		{"all processes", configMemory()},
+		{"all processes", configTime()},
+		{"all processes", configBytes()},
+		{"schedulers", journalMemory()},
+		{"schedulers", journalTime()},
+		{"schedulers", journalBytes()},
+		{"schedulers", summaryBytes()},
+		{"team owner", teamMemory()},
+		{"team owner", teamTime()},
+		{"rack owner", rackMemory()},
+		{"rack owner", rackTime()},
+		{"rack owner", heartbeatBytes()},
+		{"rack owner", heartbeatTime()},
+	}
+}
+
+// WriteSlopes prints the measured slopes.
+func WriteSlopes(w io.Writer, all []Measurement) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(table, "role\twhat\tslope\tunit\tat zero\tspread\tpoints (size:value)"); err != nil {
+		return err
+	}
+	for _, m := range all {
+		s := m.Slope
+		points := ""
+		for _, p := range s.Points {
+			points += fmt.Sprintf(" %.0f:%.0f", p.Size, p.Value)
+		}
+		_, err := fmt.Fprintf(table, "%s\t%s\t%.1f\t%s\t%.0f\t%.1f %%\t%s\n",
+			m.Role, s.Name, s.Per, s.Unit, s.Base, 100*s.Spread, points)
+		if err != nil {
+			return err
+		}
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/internal/capacity/wire.go
@@ -0,0 +1,171 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/workerclient"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/ownership"
+	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// countedListener counts the bytes of its connections in both directions.
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{Conn: conn, bytes: l.bytes}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// heartbeatBytes is what one heartbeat to a worker sends and receives, by the
+// number of its tasks.
+func heartbeatBytes() Slope {
+	return measure("heartbeat size", "B/task of a worker", []int{0, 4, 8, 16, 32}, func(n int) float64 {
+		report := port.WorkerReport{Clock: time.Hour, Epoch: testEpoch}
+		for i := range n {
+			report.Tasks = append(report.Tasks, port.TaskStatus{
+				Task: model.NewTask("01HZZZZZZZZZZZZZZZZZ000000", i), Attempt: 1, Job: "01HZZZZZZZZZZZZZZZZZ000000",
+				Team: testTeam, Permit: "team.1.1", State: port.TaskRunning, Declared: taskSize, Used: taskSize,
+			})
+		}
+		return bytesPerCall(report)
+	})
+}
+
+// bytesPerCall sends heartbeats over loopback and counts the bytes of each.
+func bytesPerCall(report port.WorkerReport) float64 {
+	const calls = 50
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0
+	}
+	var total atomic.Int64
+	server := &http.Server{
+		ReadHeaderTimeout: time.Second,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(report)
+		}),
+	}
+	go func() { _ = server.Serve(countedListener{Listener: listener, bytes: &total}) }()
+	defer func() { _ = server.Close() }()
+	client := workerclient.New()
+	beat := port.Heartbeat{Epoch: testEpoch, LeaseUntil: time.Hour}
+	for range calls {
+		if _, err := client.Heartbeat(context.Background(), listener.Addr().String(), beat); err != nil {
+			return 0
+		}
+	}
+	return float64(total.Load()) / calls
+}
+
+// heartbeatTime is the processor time of a heartbeat, both ends included.
+func heartbeatTime() Slope {
+	return measure("heartbeat time", "ns/heartbeat, both ends", []int{1000, 2000, 4000}, func(n int) float64 {
+		report := port.WorkerReport{Clock: time.Hour, Epoch: testEpoch}
+		for i := range tasksPerWorker {
+			report.Tasks = append(report.Tasks, port.TaskStatus{
+				Task: model.NewTask("01HZZZZZZZZZZZZZZZZZ000000", i), Permit: "team.1.1", State: port.TaskRunning, Declared: taskSize,
+			})
+		}
+		return float64(fastest(3, func() { beatMany(n, report) }))
+	})
+}
+
+func beatMany(n int, report port.WorkerReport) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return
+	}
+	server := &http.Server{
+		ReadHeaderTimeout: time.Second,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var beat port.Heartbeat
+			_ = json.NewDecoder(r.Body).Decode(&beat)
+			_ = json.NewEncoder(w).Encode(report)
+		}),
+	}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	client := workerclient.New()
+	for range n {
+		_, _ = client.Heartbeat(context.Background(), listener.Addr().String(), port.Heartbeat{LeaseUntil: time.Hour})
+	}
+}
+
+// summaryBytes is the size of one partition's report to another member, by the
+// rooms that it lists.
+func summaryBytes() Slope {
+	return measure("summary size", "B/room listed", []int{0, 2, 4, 8}, func(n int) float64 {
+		summary := &peerpb.PartitionSummary{
+			Partition: "rack/domain-100", Epoch: 1 << 30, Capacity: convert.ResourcesPB(taskSize.Scale(100)),
+			Free: convert.ResourcesPB(taskSize.Scale(50)), LargestFree: convert.ResourcesPB(taskSize),
+			LargestVm: convert.ResourcesPB(taskSize.Scale(32)), FailureDomains: []string{"domain"}, Vms: 8,
+		}
+		for range n {
+			summary.Room = append(summary.Room, convert.ResourcesPB(taskSize.Scale(4)))
+		}
+		return float64(proto.Size(summary))
+	})
+}
+
+// renewalBytes is the size of a member's renewals on the log.
+func renewalBytes() Slope {
+	return measure("renewal size", "B/renewal", []int{1, 2, 4}, func(n int) float64 {
+		record := ownership.Record("01HZZZZZZZZZZZZZZZZZ000000", &logpb.Renewal{
+			Member: "01HZZZZZZZZZZZZZZZZZ000000", ReadNext: 1 << 30,
+		})
+		return float64(n * proto.Size(record))
+	})
+}
+
+// journalBytes is the size of accepted jobs on the log.
+func journalBytes() Slope {
+	return measure("journal size", "B/accepted job", []int{1, 2, 4}, func(n int) float64 {
+		return float64(n * len(jobRecord(0)))
+	})
+}
+
+// configBytes is the size of configuration changes on the log.
+func configBytes() Slope {
+	return measure("configuration size", "B/template and key", []int{1, 2, 4}, func(n int) float64 {
+		total := 0
+		for _, record := range configRecords(n) {
+			total += len(record)
+		}
+		return float64(total)
+	})
+}
