--- a/internal/core/rack/rack.go
+++ b/internal/core/rack/rack.go
@@ -15,7 +15,7 @@
 	free     model.Resources // capacity less reserved
 	reserved model.Resources
 	// excess is how much adopted tasks or a shrunk capacity reserve beyond
-	// the capacity; nothing is placed until it is gone.
+	// the capacity; nothing fits until it is gone.
 	excess  model.Resources
 	entries []*entry
 	hold    *hold
@@ -208,7 +208,7 @@
 
 // available reports whether the worker may take work at all.
 func (w *worker) available() bool {
-	return !w.gone && !w.silent && !w.vm.Leaving && w.excess.IsZero()
+	return !w.gone && !w.silent && !w.vm.Leaving
 }
 
 // settle derives free from capacity and reserved.
