Add a benchmark of the way through the system

The speed goals are ratios against direct calls to the same stand-in runners, so that both have to be measured in one run. balsam-bench alternates phases of direct calls and of calls through the entries at a constant rate that does not wait for answers, and then reads what idle programs use from /proc.

Checked: vet and linter.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,9 @@
 demo: build ## Run the demonstration on loopback (under a minute)
 	bin/balsam-demo
 
+bench: build ## Measure quick requests and idle programs on loopback
+	bin/balsam-bench
+
 vet: ## Run go vet
 	$(GO) vet ./...
 
--- /dev/null
+++ b/cmd/balsam-bench/main.go
@@ -0,0 +1,42 @@
+// Command balsam-bench measures quick requests through a small cell of real
+// processes on loopback against direct calls to the same runners.
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/balsamhitch/balsamhitch/internal/bench"
+)
+
+type command struct {
+	Binaries string        `help:"Directory with the built programs; by default that of this one."`
+	Rate     int           `default:"2000" help:"Requests a second."`
+	EntryVMs int           `name:"entry-vms" default:"3" help:"Entry VMs."`
+	Runners  int           `default:"12" help:"Runners."`
+	Phase    time.Duration `default:"5s" help:"Length of each of the four phases."`
+	Idle     time.Duration `default:"10s" help:"Time without load at the end; 0 leaves it out."`
+}
+
+func main() {
+	var cli command
+	ctx := kong.Parse(&cli, kong.Name("balsam-bench"), kong.Description("Measures quick requests on loopback."))
+	ctx.FatalIfErrorf(cli.run())
+}
+
+func (c *command) run() error {
+	if c.Binaries == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		c.Binaries = filepath.Dir(self)
+	}
+	return bench.Run(bench.Options{
+		Binaries: c.Binaries, Out: os.Stdout, EntryVMs: c.EntryVMs, Runners: c.Runners,
+		Rate: c.Rate, Phase: c.Phase, Idle: c.Idle,
+	})
+}
--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,166 @@
+// Package bench measures what the way through the system adds to a quick
+// request, and what its programs cost while idle, with real processes on
+// loopback.
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/runnerclient"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/vmclient"
+	"github.com/balsamhitch/balsamhitch/internal/caller"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/demo"
+	"github.com/balsamhitch/balsamhitch/internal/history"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+	"github.com/balsamhitch/balsamhitch/internal/proctest"
+	"github.com/balsamhitch/balsamhitch/internal/standin/cell"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("bench")
+
+const (
+	team        = model.TeamID("bench")
+	service     = model.ServiceID("quotes")
+	deadline    = 5 * time.Second
+	warmUp      = 2 * time.Second
+	rounds      = 2 // of a direct phase and a phase through the system
+	connsToEach = 64
+	template    = `
+[[template]]
+team = "bench"
+kinds = ["quick"]
+services = ["quotes"]
+share = 1.0
+max_queued = 10000
+upper_limit = { slots = 4096 }
+`
+)
+
+// Options sets up a measurement.
+type Options struct {
+	Binaries string
+	Out      io.Writer
+	EntryVMs int
+	Runners  int
+	Rate     int           // requests a second
+	Phase    time.Duration // of each phase
+	Idle     time.Duration // without load, for the cost of idle programs
+}
+
+type bench struct {
+	options    Options
+	cluster    *proctest.Cluster
+	credential caller.Credential
+	fleet      *caller.Fleet
+	vms        []model.VM // runners
+}
+
+// Run measures and prints the results.
+func Run(options Options) error {
+	dir, err := os.MkdirTemp("", "balsam-bench-")
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	b := &bench{options: options, fleet: caller.NewFleet()}
+	if err := b.start(dir); err != nil {
+		return err
+	}
+	defer b.cluster.Close()
+	b.measureLatency()
+	return b.measureIdle()
+}
+
+func (b *bench) start(dir string) error {
+	config := cell.DefaultConfig()
+	config.Services = []cell.Service{{Name: service, Runners: b.options.Runners}}
+	config.LeaveRequestsUnnoted = true
+	cluster, err := proctest.StartCluster(proctest.ClusterOptions{
+		Binaries: b.options.Binaries, Dir: dir, EntryVMs: b.options.EntryVMs, Cell: config,
+	})
+	if err != nil {
+		return err
+	}
+	b.cluster = cluster
+	if err := b.prepare(dir); err != nil {
+		cluster.Close()
+		return err
+	}
+	return nil
+}
+
+func (b *bench) prepare(dir string) error {
+	for _, vm := range b.cluster.VMs() {
+		if err := b.cluster.AwaitReady(vm); err != nil {
+			return err
+		}
+		b.fleet.Add(vm.URL())
+	}
+	operator := demo.NewOperator(b.cluster, &history.Recorder{}, dir)
+	if err := operator.Apply("bench.toml", []byte(template)); err != nil {
+		return err
+	}
+	var err error
+	if b.credential, err = operator.IssueKey(team); err != nil {
+		return err
+	}
+	all, err := vmclient.New(b.cluster.Platform.URLs.VMs).List(context.Background())
+	for _, vm := range all {
+		if vm.Role == model.RoleRunner {
+			b.vms = append(b.vms, vm)
+		}
+	}
+	return err
+}
+
+// measureLatency alternates direct calls and calls through the system, so that
+// both meet the same state of the machine.
+func (b *bench) measureLatency() {
+	through := caller.New(b.fleet, nil)
+	direct := runnerclient.New(connsToEach)
+	paths := []*phase{
+		{name: "direct", send: func(n int) bool { return b.direct(direct, n) }},
+		{name: "through the system", send: func(n int) bool { return b.through(through, n) }},
+	}
+	for _, p := range paths {
+		p.run(b.options.Rate, warmUp)
+		p.reset()
+	}
+	for range rounds {
+		for _, p := range paths {
+			p.run(b.options.Rate, b.options.Phase)
+		}
+	}
+	_, _ = fmt.Fprintf(b.options.Out, "%d requests a second, %d entry VMs, %d runners\n", b.options.Rate, b.options.EntryVMs, b.options.Runners)
+	for _, p := range paths {
+		p.write(b.options.Out)
+	}
+	writeDifference(b.options.Out, paths[0], paths[1])
+}
+
+func (b *bench) direct(client port.Runner, n int) bool {
+	vm := b.vms[n%len(b.vms)]
+	request := model.Request{
+		ID: model.RequestID(fmt.Sprint("direct-", n)), Team: team, Service: service,
+		Body: []byte(`{"id":"direct"}`), ContentType: "application/json",
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	_, err := client.Do(ctx, vm.Address, request, 1)
+	return err == nil
+}
+
+func (b *bench) through(c *caller.Caller, n int) bool {
+	result := c.Quick(context.Background(), caller.Quick{
+		Call: fmt.Sprint("bench-", time.Now().UnixNano(), "-", n), Credential: b.credential, Service: service, Deadline: deadline,
+	})
+	return result.Outcome == model.OutcomeDone
+}
--- /dev/null
+++ b/internal/bench/idle.go
@@ -0,0 +1,83 @@
+package bench
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/proctest"
+)
+
+const (
+	kibPerMiB     = 1024
+	clockTicks    = 100 // per second, of /proc/<pid>/stat on Linux
+	utimeField    = 11  // counted from the state, which follows the name
+	stimeField    = 12
+	percentFactor = 100
+)
+
+// usage is what a process has used so far.
+type usage struct {
+	cpu time.Duration
+	rss int64 // KiB
+}
+
+// measureIdle prints what each program uses without load.
+func (b *bench) measureIdle() error {
+	if b.options.Idle == 0 {
+		return nil
+	}
+	var processes []*proctest.Process
+	for _, vm := range b.cluster.VMs() {
+		processes = append(processes, vm.Sched, vm.Entry)
+	}
+	before := make([]usage, len(processes))
+	for i, p := range processes {
+		var err error
+		if before[i], err = usageOf(p.Pid()); err != nil {
+			return err
+		}
+	}
+	time.Sleep(b.options.Idle)
+	_, _ = fmt.Fprintf(b.options.Out, "without load for %s, after the load above\n", b.options.Idle)
+	for i, p := range processes {
+		after, err := usageOf(p.Pid())
+		if err != nil {
+			return err
+		}
+		share := percentFactor * (after.cpu - before[i].cpu).Seconds() / b.options.Idle.Seconds()
+		_, _ = fmt.Fprintf(b.options.Out, "%-20s %.1f %% of a core, %.1f MiB resident\n", p.Name, share, float64(after.rss)/kibPerMiB)
+	}
+	return nil
+}
+
+func usageOf(pid int) (usage, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return usage{}, Error.Wrap(err)
+	}
+	// The name is in parentheses and may hold spaces.
+	fields := bytes.Fields(stat[bytes.LastIndexByte(stat, ')')+1:])
+	if len(fields) <= stimeField {
+		return usage{}, Error.New("/proc/%d/stat is short", pid)
+	}
+	utime, _ := strconv.ParseInt(string(fields[utimeField]), 10, 64)
+	stime, _ := strconv.ParseInt(string(fields[stimeField]), 10, 64)
+	rss, err := residentKiB(pid)
+	return usage{cpu: time.Duration(utime+stime) * time.Second / clockTicks, rss: rss}, err
+}
+
+func residentKiB(pid int) (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	for line := range bytes.Lines(status) {
+		if rest, ok := bytes.CutPrefix(line, []byte("VmRSS:")); ok {
+			return strconv.ParseInt(string(bytes.Fields(rest)[0]), 10, 64)
+		}
+	}
+	return 0, Error.New("/proc/%d/status has no VmRSS", pid)
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -95,7 +95,7 @@
 	client   *http.Client
 }
 
-// New returns a caller that records to the recorder.
+// New returns a caller that records to the recorder; nil records nothing.
 func New(fleet *Fleet, recorder *history.Recorder) *Caller {
 	return &Caller{
 		fleet:    fleet,
--- a/internal/history/event.go
+++ b/internal/history/event.go
@@ -79,8 +79,8 @@
 	Detail        string              `json:"detail,omitempty"`
 }
 
-// Recorder collects events. The zero value is ready; it is safe for
-// concurrent use.
+// Recorder collects events. The zero value is ready, a nil one drops
+// everything; it is safe for concurrent use.
 type Recorder struct {
 	mu     sync.Mutex
 	events []Event
@@ -89,6 +89,9 @@
 // Add records an event that happens now, unless it carries its own time. The
 // order of a recorder's events is that in which Add was called.
 func (r *Recorder) Add(e Event) {
+	if r == nil {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if e.At.IsZero() {
