Let owners go on without the log under promises, and play random histories

Cause: the log may be down for ten minutes under load; owners that stop with their lease would stop all work. Ruled out: promises asked for without a probe first. A member cut off from the log and from one peer then kept renewing the promises of the rest, which never took over (TestMemberCutOffFromLogAndOnePeerStops failed so); sponsors for joining, since a claimer that the holder does not know certainly is enough to refuse. Change: promise rounds with a probe, exceptions for ended members only while the lease runs, a longest outage; a rapid state-machine test under synctest with kills, freezes, cuts, orderly exits, truncation and seven log faults.

--- a/internal/app/membership/cluster_test.go
+++ b/internal/app/membership/cluster_test.go
@@ -41,6 +41,8 @@
 	log     *porttest.MemLog
 	peers   *porttest.Peers
 	checker *ownershiptest.Checker
+	step    time.Duration // between two checks
+	outage  time.Duration // longest that promises bridge; zero for the default
 
 	mu     sync.Mutex
 	vms    []model.VM
@@ -60,6 +62,7 @@
 		log:     porttest.NewMemLog(),
 		peers:   porttest.NewPeers(),
 		checker: ownershiptest.NewChecker(),
+		step:    7 * time.Millisecond,
 		wanted:  []model.PartitionID{model.SystemPartition, model.TeamPartition("guild")},
 	}
 	c.fail = func(err error) {
@@ -95,9 +98,11 @@
 		Clock:   porttest.NewClock(gate, time.Duration(c.made)*time.Hour, drift),
 		Peer:    c.peers.Client(address, gate),
 		VMs:     c.list,
-		Wanted:  c.want,
-		Drain:   func(context.Context, model.PartitionID, model.Epoch) { time.Sleep(10 * time.Millisecond) },
-		Logger:  logrus.NewEntry(logger),
+
+		MaxOutage: c.outage,
+		Wanted:    c.want,
+		Drain:     func(context.Context, model.PartitionID, model.Epoch) { time.Sleep(10 * time.Millisecond) },
+		Logger:    logrus.NewEntry(logger),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -184,9 +189,8 @@
 
 // run lets time pass and checks the invariants every few milliseconds.
 func (c *cluster) run(d time.Duration) {
-	const step = 7 * time.Millisecond
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		time.Sleep(min(step, time.Until(end)))
+		time.Sleep(min(c.step, time.Until(end)))
 		c.fail(c.checker.Instant(time.Now(), c.actors()))
 	}
 }
--- /dev/null
+++ b/internal/app/membership/machine_test.go
@@ -0,0 +1,200 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/ownership"
+	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
+)
+
+// action is one step of a drawn history. Faults last for a while and overlap.
+type action struct {
+	kind  string
+	node  int // index into the addresses
+	other int
+	lasts time.Duration
+	then  time.Duration // until the next action
+}
+
+const (
+	machineAddresses = 5
+	machineStarted   = 4
+	keptRecords      = 500 // by a truncation; more than between two checkpoints
+	healTime         = 2 * time.Minute
+)
+
+var actionKinds = []string{
+	"kill", "freeze", "freeze", "exit", "start", "replace",
+	"log down", "log down", "appends down", "slow appends", "slow reads", "late appends", "lost answers",
+	"all down", "all down", "all but one down", "cut", "truncate",
+}
+
+func drawActions(t *rapid.T) []action {
+	one := rapid.Custom(func(t *rapid.T) action {
+		return action{
+			kind:  rapid.SampledFrom(actionKinds).Draw(t, "kind"),
+			node:  rapid.IntRange(0, machineAddresses-1).Draw(t, "node"),
+			other: rapid.IntRange(0, machineAddresses-1).Draw(t, "other"),
+			lasts: time.Duration(rapid.IntRange(50, 9000).Draw(t, "lasts ms")) * time.Millisecond,
+			then:  time.Duration(rapid.IntRange(0, 2000).Draw(t, "then ms")) * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(one, 1, 10).Draw(t, "actions")
+}
+
+// machine applies actions to a cluster.
+type machine struct {
+	*cluster
+}
+
+func addressOf(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
+
+func (m *machine) at(i int) *node {
+	for _, n := range m.nodes {
+		if n.address == addressOf(i) {
+			return n
+		}
+	}
+	return nil
+}
+
+// fault sets faults of a process's log access for a while.
+func (m *machine) fault(n *node, f porttest.Faults, lasts time.Duration) {
+	n.log.SetFaults(f)
+	time.AfterFunc(lasts, func() { n.log.SetFaults(healthy) })
+}
+
+func (m *machine) do(a action) {
+	n := m.at(a.node)
+	switch a.kind {
+	case "start":
+		if n == nil {
+			m.start(addressOf(a.node))
+		}
+		return
+	case "replace":
+		if n != nil {
+			m.kill(n)
+		}
+		m.start(addressOf(a.node))
+		return
+	case "all down":
+		for _, each := range m.nodes {
+			m.fault(each, porttest.Faults{Down: true}, a.lasts)
+		}
+		return
+	case "all but one down":
+		for _, each := range m.nodes {
+			if each != n {
+				m.fault(each, porttest.Faults{Down: true}, a.lasts)
+			}
+		}
+		return
+	case "cut":
+		m.peers.SetCut(addressOf(a.node), addressOf(a.other), true)
+		time.AfterFunc(a.lasts, func() { m.peers.SetCut(addressOf(a.node), addressOf(a.other), false) })
+		return
+	case "truncate":
+		if next := m.log.Next(ownership.Stream); next > keptRecords {
+			m.log.Truncate(ownership.Stream, next-keptRecords)
+		}
+		return
+	}
+	if n != nil {
+		m.doNode(n, a)
+	}
+}
+
+func (m *machine) doNode(n *node, a action) {
+	switch a.kind {
+	case "kill":
+		m.kill(n)
+	case "freeze":
+		n.gate.Close()
+		time.AfterFunc(a.lasts, n.gate.Open)
+	case "exit":
+		ctx, cancel := context.WithTimeout(context.Background(), a.lasts)
+		_ = n.HandoverAll(ctx)
+		cancel()
+		m.kill(n)
+	case "log down":
+		m.fault(n, porttest.Faults{Down: true}, a.lasts)
+	case "appends down":
+		m.fault(n, porttest.Faults{AppendsDown: true}, a.lasts)
+	case "slow appends":
+		m.fault(n, porttest.Faults{AppendDelay: a.lasts / 4}, a.lasts)
+	case "slow reads":
+		m.fault(n, porttest.Faults{ReadDelay: a.lasts / 4}, a.lasts)
+	case "late appends":
+		m.fault(n, porttest.Faults{LandLate: a.lasts}, a.lasts)
+	case "lost answers":
+		m.fault(n, porttest.Faults{LoseAnswers: true}, a.lasts)
+	}
+}
+
+// play runs a drawn history and returns the first violation.
+func play(t *testing.T, actions []action) (failure error) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &machine{cluster: newCluster(t, 4)}
+		m.step = 11 * time.Millisecond
+		m.fail = func(err error) {
+			if failure == nil {
+				failure = err
+			}
+		}
+		defer m.stop()
+		for i := range machineStarted {
+			m.start(addressOf(i))
+		}
+		m.listAll()
+		m.run(3 * time.Second)
+		for _, a := range actions {
+			m.do(a)
+			m.run(a.then)
+			if failure != nil {
+				return
+			}
+		}
+		m.heal()
+	})
+	return failure
+}
+
+// heal waits for the faults to end, restarts ended processes as a VM's
+// supervisor does and then expects every partition served.
+func (m *machine) heal() {
+	m.run(10 * time.Second)
+	for i := range machineAddresses {
+		if m.at(i) == nil {
+			m.start(addressOf(i))
+		}
+	}
+	for end := time.Now().Add(healTime); time.Now().Before(end) && m.served() != nil; {
+		m.run(200 * time.Millisecond)
+	}
+	m.fail(m.served())
+	m.run(time.Second)
+}
+
+// listAll makes the VM list name every VM; all outlive their processes here.
+func (m *machine) listAll() {
+	var all []string
+	for i := range machineAddresses {
+		all = append(all, addressOf(i))
+	}
+	m.setVMs(all...)
+}
+
+func TestAtMostOneOwnerActsAndNoPartitionIsLost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if err := play(t, drawActions(rt)); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
--- a/internal/app/membership/member.go
+++ b/internal/app/membership/member.go
@@ -26,6 +26,8 @@
 	tasks  *ants.Pool // appends in flight
 	drains sync.WaitGroup
 
+	promised bool // the last round of promises succeeded; of the outage loop
+
 	// The follower's mu guards everything below.
 	lease     *ownership.Lease
 	promises  *ownership.Promises
--- a/internal/app/membership/outage.go
+++ b/internal/app/membership/outage.go
@@ -24,9 +24,11 @@
 		case <-ticker.C:
 		}
 		now := m.clock.Now()
-		if now >= nextRound && m.lagging(now) {
+		lagging := m.lagging(now)
+		m.promised = m.promised && lagging
+		if lagging && now >= nextRound {
 			nextRound = now + promiseEvery
-			if !m.gatherPromises(ctx) {
+			if !m.extend(ctx) {
 				nextRound = now + m.opt.RenewEvery
 			}
 		}
@@ -47,9 +49,20 @@
 	return len(m.held) > 0 && age > 2*m.opt.RenewEvery && age < m.opt.MaxOutage
 }
 
-// gatherPromises asks every other member of the view and extends the lease if
-// all of them promise.
-func (m *Member) gatherPromises(ctx context.Context) bool {
+// extend renews the lease by promises. Unless the last round succeeded it asks
+// first whether all would promise: promises of some do not help this member
+// and keep the others from taking over.
+func (m *Member) extend(ctx context.Context) bool {
+	if !m.promised && !m.gather(ctx, true) {
+		return false
+	}
+	m.promised = m.gather(ctx, false)
+	return m.promised
+}
+
+// gather asks every other member of the view. Unless it only probes, it
+// extends the lease if all of them promise. It reports whether all do.
+func (m *Member) gather(ctx context.Context, probe bool) bool {
 	vms := m.opt.VMs()
 	now := m.clock.Now()
 	m.mu.Lock()
@@ -62,7 +75,7 @@
 	round := m.extension.Begin(m.actable(), view, now)
 	m.mu.Unlock()
 
-	answers := m.askAll(ctx, view, round.Held)
+	answers := m.askAll(ctx, view, round.Held, probe)
 	for i, other := range view {
 		round.Answers[other.ID] = answers[i]
 	}
@@ -74,6 +87,9 @@
 			round.Answers[other.ID] = ownership.Gone
 		}
 	}
+	if probe {
+		return m.extension.Suffices(round, now, m.lease.Until())
+	}
 	extended := m.extension.Finish(round, now, m.lease.Until(), m.opt.PromiseTerm)
 	if extended {
 		m.publish()
@@ -104,10 +120,13 @@
 }
 
 // askAll asks all members at once and returns their answers in order.
-func (m *Member) askAll(ctx context.Context, view []ownership.Member, held ownership.Held) []ownership.Answer {
+func (m *Member) askAll(
+	ctx context.Context, view []ownership.Member, held ownership.Held, probe bool,
+) []ownership.Answer {
 	request := &peerpb.PromiseRequest{
 		Member: string(m.opt.ID),
 		TermMs: m.opt.PromiseTerm.Milliseconds(),
+		Probe:  probe,
 	}
 	for p, e := range held {
 		request.Partitions = append(request.Partitions,
@@ -129,6 +148,7 @@
 		Body: &peerpb.Request_Promise{Promise: &peerpb.PromiseRequest{
 			Member:     request.GetMember(),
 			TermMs:     request.GetTermMs(),
+			Probe:      request.GetProbe(),
 			Partitions: request.GetPartitions(),
 			Receiver:   string(other.ID),
 		}},
@@ -179,9 +199,12 @@
 	now := m.clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	until := now + term + m.opt.DriftMargin
-	reply.Detail = m.promises.Consider(m.state(), model.MemberID(request.GetMember()), held, now, until)
+	holder := model.MemberID(request.GetMember())
+	reply.Detail = m.promises.Consider(m.state(), holder, held, now)
 	reply.Granted = reply.GetDetail() == ""
+	if reply.GetGranted() && !request.GetProbe() {
+		m.promises.Grant(holder, held, now+term+m.opt.DriftMargin)
+	}
 	return reply
 }
 
--- /dev/null
+++ b/internal/app/membership/outage_test.go
@@ -0,0 +1,137 @@
+package membership
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/ownership"
+	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
+)
+
+var down = porttest.Faults{Down: true}
+
+// outage starts members and takes the log away from all but spared ones.
+func outage(t *testing.T, members int, spared ...int) *cluster {
+	c := newCluster(t, 6)
+	c.startMany(members)
+	c.run(5 * time.Second)
+	c.fail(c.served())
+	for _, n := range c.nodes {
+		n.log.SetFaults(down)
+	}
+	for _, i := range spared {
+		c.nodes[i].log.SetFaults(healthy)
+	}
+	return c
+}
+
+// runServed lets time pass and expects every partition served all the time.
+func (c *cluster) runServed(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		c.run(100 * time.Millisecond)
+		c.fail(c.served())
+	}
+}
+
+func TestTenMinutesWithoutTheLogAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := outage(t, 5)
+		defer c.stop()
+		before := c.log.Next(ownership.Stream)
+		c.step = 50 * time.Millisecond
+		c.runServed(10 * time.Minute)
+		assert.Equal(t, before, c.log.Next(ownership.Stream))
+		for _, n := range c.nodes {
+			n.log.SetFaults(healthy)
+		}
+		c.runServed(30 * time.Second)
+	})
+}
+
+func TestOneMemberCutOffFromTheLogGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := outage(t, 4, 0, 1, 2)
+		defer c.stop()
+		c.runServed(time.Minute)
+		c.nodes[3].log.SetFaults(healthy)
+		c.runServed(10 * time.Second)
+	})
+}
+
+func TestMemberCutOffFromLogAndOnePeerStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := outage(t, 4, 0, 1, 2)
+		defer c.stop()
+		c.runServed(5 * time.Second)
+		cutOff := c.nodes[3]
+		c.peers.SetCut(c.nodes[0].address, cutOff.address, true)
+		c.run(promiseEvery + DefaultPromiseTerm + DefaultDriftMargin + takeoverLimit)
+		c.fail(c.served())
+		assert.False(t, cutOff.Ready(), "the others have taken over")
+	})
+}
+
+func TestPausedPeerOnlyInterruptsAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := outage(t, 4)
+		defer c.stop()
+		c.runServed(10 * time.Second)
+		paused := c.nodes[1]
+		paused.gate.Close()
+		c.run(2 * DefaultPromiseTerm)
+		assert.Error(t, c.served(), "promises have run out")
+		paused.gate.Open()
+		c.run(2 * time.Second)
+		c.runServed(10 * time.Second)
+	})
+}
+
+func TestDeathInAnOutageStopsNobodyElse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := outage(t, 4)
+		defer c.stop()
+		var all []string
+		for _, n := range c.nodes {
+			all = append(all, n.address)
+		}
+		c.setVMs(all...)
+		c.run(10 * time.Second)
+		c.kill(c.nodes[3])
+		c.setVMs(all[:3]...)
+		c.run(20 * time.Second)
+		for _, n := range c.nodes {
+			assert.True(t, n.Ready(), n.opt.ID)
+		}
+	})
+}
+
+func TestPromisesEndWithTheLongestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = time.Minute
+		c := newCluster(t, 2)
+		defer c.stop()
+		c.outage = most
+		c.startMany(2)
+		c.run(5 * time.Second)
+		for _, n := range c.nodes {
+			n.log.SetFaults(down)
+		}
+		c.runServed(most)
+		c.run(DefaultPromiseTerm + time.Second)
+		assert.Empty(t, c.actors())
+	})
+}
+
+func TestNewcomerTakesNothingFromACutOffHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := outage(t, 3) // the holders promise each other
+		defer c.stop()
+		c.runServed(5 * time.Second)
+		newcomer := c.start("10.0.0.9:7000")
+		c.runServed(30 * time.Second)
+		assert.Empty(t, newcomer.acts.Load().held)
+	})
+}
--- a/internal/core/ownership/promise.go
+++ b/internal/core/ownership/promise.go
@@ -76,9 +76,9 @@
 	return now < p.holders[id]
 }
 
-// Consider grants the holder's request until the given clock reading, or says
-// why not. s is nil while the state is unknown.
-func (p *Promises) Consider(s *State, holder model.MemberID, held Held, now, until time.Duration) (refusal string) {
+// Consider says why the holder's request for a promise cannot be granted, or
+// returns "". s is nil while the state is unknown.
+func (p *Promises) Consider(s *State, holder model.MemberID, held Held, now time.Duration) (refusal string) {
 	if s == nil {
 		return "the state is not known yet"
 	}
@@ -93,11 +93,16 @@
 			return "the log gave " + string(id) + " to another holder"
 		}
 	}
+	return ""
+}
+
+// Grant promises the holder what Consider did not refuse, until the given
+// clock reading.
+func (p *Promises) Grant(holder model.MemberID, held Held, until time.Duration) {
 	for id := range held {
 		p.partitions[id] = max(p.partitions[id], until)
 	}
 	p.holders[holder] = max(p.holders[holder], until)
-	return ""
 }
 
 // touches reports whether the claim, if it lands, may take something from the
@@ -188,6 +193,21 @@
 // lease still ran, for then it cannot have sent a claim; logUntil is the end
 // of the lease that was read back from the log.
 func (x *Extension) Finish(round *Round, now, logUntil, term time.Duration) bool {
+	if !x.Suffices(round, now, logUntil) {
+		return false
+	}
+	for id, answer := range round.Answers {
+		if answer == Gone {
+			x.setGone(id)
+		}
+	}
+	x.until = max(x.until, round.Sent+term)
+	x.held = round.Held
+	return true
+}
+
+// Suffices reports whether the answers of the round extend the lease.
+func (x *Extension) Suffices(round *Round, now, logUntil time.Duration) bool {
 	if round.generation != x.generation || len(round.Held) == 0 {
 		return false
 	}
@@ -198,13 +218,6 @@
 			return false
 		}
 	}
-	for id, answer := range round.Answers {
-		if answer == Gone {
-			x.setGone(id)
-		}
-	}
-	x.until = max(x.until, round.Sent+term)
-	x.held = round.Held
 	return true
 }
 
--- /dev/null
+++ b/internal/core/ownership/promise_test.go
@@ -0,0 +1,123 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+)
+
+const (
+	rack  model.PartitionID = "rack/1"
+	lease                   = 1500 * time.Millisecond
+	term                    = 5 * time.Second
+)
+
+// heldByA is a state in which "a" has held the rack since offset 2.
+func heldByA() *State {
+	s := NewState(0)
+	s.Apply(0, Record("", &logpb.Join{Member: "a"}))
+	s.Apply(1, Record("", &logpb.Join{Member: "b"}))
+	s.Apply(2, Record("", claimOf("a", "", 0, 0)))
+	return s
+}
+
+func claimOf(claimer, holder string, epoch, renewal uint64) *logpb.Claim {
+	return &logpb.Claim{Member: claimer, Partitions: []*logpb.PartitionClaim{
+		{Partition: string(rack), Epoch: epoch, Holder: holder, HolderRenewal: renewal},
+	}}
+}
+
+func TestLateRenewalCountsFromWhenItWasSent(t *testing.T) {
+	l := NewLease(lease)
+	l.Sent("old", time.Second)
+	l.Sent("new", 2*time.Second)
+	assert.True(t, l.ReadBack("new"))
+	assert.Equal(t, 2*time.Second+lease, l.Until())
+	assert.True(t, l.ReadBack("old"), "lands after the newer one")
+	assert.Equal(t, 2*time.Second+lease, l.Until())
+	assert.False(t, l.ReadBack("old"), "a second copy counts for nothing")
+}
+
+func TestClaimOfUnknownOutcomeForbidsPromises(t *testing.T) {
+	s := heldByA()
+	p := NewPromises()
+	p.ClaimSent("c", claimOf("b", "a", 2, 0))
+	assert.NotEmpty(t, p.Consider(s, "a", Held{rack: 2}, 0))
+	assert.Empty(t, p.Consider(s, "a", Held{"rack/2": 9}, 0), "other partitions are free")
+	s.Apply(3, Record("", &logpb.Renewal{Member: "a", ReadNext: 3}))
+	assert.Empty(t, p.Consider(s, "a", Held{rack: 2}, 0), "the renewal voids the claim")
+}
+
+func TestRemovalOfUnknownOutcomeForbidsPromises(t *testing.T) {
+	p := NewPromises()
+	p.ClaimSent("c", &logpb.Claim{Member: "b", Lapsed: []*logpb.LapsedMember{{Member: "a", Renewal: 0}}})
+	assert.NotEmpty(t, p.Consider(heldByA(), "a", Held{rack: 2}, 0))
+}
+
+func TestNoPromiseAgainstWhatTheLogSays(t *testing.T) {
+	s := heldByA()
+	s.Apply(3, Record("", claimOf("b", "a", 2, 0)))
+	p := NewPromises()
+	assert.NotEmpty(t, p.Consider(s, "a", Held{rack: 2}, 0), "b has taken the rack")
+	assert.Empty(t, p.Consider(s, "a", Held{rack: 9}, 0), "a has read further")
+	assert.NotEmpty(t, p.Consider(nil, "a", Held{rack: 2}, 0))
+}
+
+func TestPromiseBlocksClaimAndRemovalUntilItEnds(t *testing.T) {
+	p := NewPromises()
+	p.Grant("a", Held{rack: 2}, term)
+	p.Grant("a", Held{rack: 2}, time.Second) // does not shorten
+	p.Prune(heldByA(), term-1)
+	assert.True(t, p.Blocks(rack, term-1))
+	assert.True(t, p.BlocksRemoval("a", term-1))
+	assert.False(t, p.Blocks(rack, term))
+	assert.False(t, p.BlocksRemoval("a", term))
+}
+
+// round has the answers of b and c to a.
+func round(x *Extension, now time.Duration, b, c Answer) *Round {
+	r := x.Begin(Held{rack: 2}, []Member{{ID: "b"}, {ID: "c"}}, now)
+	r.Answers["b"] = b
+	r.Answers["c"] = c
+	return r
+}
+
+func TestExtensionNeedsEveryMember(t *testing.T) {
+	var x Extension
+	assert.False(t, x.Finish(round(&x, 0, Granted, Refused), 1, lease, term))
+	assert.True(t, x.Finish(round(&x, 0, Granted, Granted), 1, lease, term))
+	assert.Equal(t, term, x.Until(rack, 2))
+	assert.Zero(t, x.Until(rack, 3), "not what was promised")
+	assert.Zero(t, x.Until("rack/2", 2))
+}
+
+func TestEndedMemberIsExceptedOnlyWhileTheLeaseRuns(t *testing.T) {
+	var x Extension
+	assert.False(t, x.Finish(round(&x, 0, Granted, Gone), lease, lease, term),
+		"c may have sent a claim after the lease ran out and before it ended")
+	assert.True(t, x.Finish(round(&x, 0, Granted, Gone), lease-1, lease, term))
+	late := term + time.Second
+	assert.True(t, x.Finish(round(&x, late, Granted, Gone), late, lease, term),
+		"c ended while the lease ran and can have sent nothing since")
+	assert.False(t, x.Finish(round(&x, 2*late, Gone, Gone), 2*late+term, lease, term))
+	x.Renewed()
+	assert.False(t, x.Finish(round(&x, 4*late, Granted, Gone), 4*late, lease, term))
+}
+
+func TestNewMemberEndsPromisesItDidNotGive(t *testing.T) {
+	var x Extension
+	begun := round(&x, 0, Granted, Granted)
+	assert.True(t, x.Finish(begun, 1, lease, term))
+	x.ViewGrew()
+	assert.Zero(t, x.Until(rack, 2))
+	assert.False(t, x.Finish(begun, 2, lease, term), "the round did not ask the new member")
+}
+
+func TestOnlyMembersThatTheHolderKnowsAreInItsView(t *testing.T) {
+	assert.True(t, InView(Member{ReadNext: 8}, Member{Joined: 7}))
+	assert.False(t, InView(Member{ReadNext: 7}, Member{Joined: 7}))
+}
