--- a/internal/app/rackowner/owner.go
+++ b/internal/app/rackowner/owner.go
@@ -5,13 +5,14 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/host"
+	"github.com/balsamhitch/balsamhitch/internal/app/inflight"
+	"github.com/balsamhitch/balsamhitch/internal/core/estimate"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/permit"
 	"github.com/balsamhitch/balsamhitch/internal/core/rack"
@@ -55,9 +56,8 @@
 	logger   *logrus.Entry
 	acquired time.Duration // reading at which the tenure began
 
-	draining atomic.Bool
-	inFlight sync.WaitGroup
-	wake     chan struct{} // asks for a placement pass
+	inFlight inflight.Counter // starts on their way to workers
+	wake     chan struct{}    // asks for a placement pass
 
 	mu      sync.Mutex
 	rack    *rack.Rack
@@ -67,6 +67,8 @@
 	starts  map[string]*start // unconfirmed starts by permit id
 	payload map[string]*peerpb.TaskOffer
 	reports *reports
+	learned *estimate.Templates
+	largest model.Resources // what the largest worker holds
 }
 
 var _ host.Partition = (*Owner)(nil)
@@ -93,6 +95,9 @@
 		starts:   map[string]*start{},
 		payload:  map[string]*peerpb.TaskOffer{},
 		reports:  newReports(),
+		// A reservation is never smaller than what was declared: what a task
+		// declared it may use at any moment.
+		learned: estimate.New(estimate.Policy{Floor: 1}),
 	}
 	o.rack.SetDomainOut(func(domain model.FailureDomain) bool {
 		return env.Config().DomainOut(domain)
@@ -128,16 +133,7 @@
 
 // Drain refuses new offers and waits for starts in flight.
 func (o *Owner) Drain(ctx context.Context) {
-	o.draining.Store(true)
-	done := make(chan struct{})
-	go func() {
-		o.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	o.inFlight.Drain(ctx)
 }
 
 // Summary reports the rack's free capacity.
@@ -149,6 +145,7 @@
 
 func (o *Owner) summary() *peerpb.PartitionSummary {
 	s := o.rack.Summary()
+	o.largest = s.LargestVM
 	return &peerpb.PartitionSummary{
 		Partition:      string(o.id),
 		Epoch:          uint64(o.epoch),
@@ -159,6 +156,7 @@
 		FailureDomains: convert.DomainsPB(s.Domains),
 		Waiting:        int32(len(o.pending)),
 		Vms:            int32(s.VMs),
+		Room:           convert.ResourcesListPB(s.Room),
 	}
 }
 
--- a/internal/app/rackowner/place.go
+++ b/internal/app/rackowner/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/balsamhitch/balsamhitch/internal/core/estimate"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/rack"
 	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
@@ -37,7 +38,7 @@
 
 // enqueue adds an offer to those that wait for a decision.
 func (o *Owner) enqueue(message *peerpb.TaskOffer) *pendingOffer {
-	offer := offerOf(message)
+	offer := o.offerOf(message)
 	p := &pendingOffer{
 		offer:   offer,
 		message: message,
@@ -56,26 +57,64 @@
 	return p
 }
 
-func offerOf(message *peerpb.TaskOffer) rack.Offer {
+// offerOf returns the offer with its size and run time corrected by what tasks
+// of the same template took. The owner is locked.
+func (o *Owner) offerOf(message *peerpb.TaskOffer) rack.Offer {
 	p := convert.Permit(message.GetPermit())
 	avoid := make([]model.VMID, 0, len(message.GetAvoidVms()))
 	for _, vm := range message.GetAvoidVms() {
 		avoid = append(avoid, model.VMID(vm))
 	}
+	name := templateName(p.Team, message.GetTemplate())
+	declaredRun := time.Duration(message.GetExpectedRunMs()) * time.Millisecond
 	return rack.Offer{
 		Permit:      p,
 		Task:        model.TaskID(message.GetTaskId()),
 		Attempt:     int(message.GetAttempt()),
 		Job:         model.JobID(message.GetJobId()),
-		Size:        p.Size,
-		ExpectedRun: time.Duration(message.GetExpectedRunMs()) * time.Millisecond,
+		Size:        o.correctedSize(name, p.Size),
+		ExpectedRun: o.learned.Run(name, declaredRun),
 		Domains:     convert.Domains(message.GetFailureDomains()),
 		Urgent:      message.GetUrgent(),
-		Template:    message.GetTemplate(),
+		Template:    name,
 		Avoid:       avoid,
 	}
 }
 
+// templateName keeps the templates of teams apart.
+func templateName(team model.TeamID, name string) string {
+	return string(team) + "/" + name
+}
+
+// correctedSize returns what to reserve for a task. A correction beyond the
+// largest worker stops there, so that a task that fits as declared still fits.
+func (o *Owner) correctedSize(name string, declared model.Resources) model.Resources {
+	corrected := o.learned.Size(name, declared)
+	if !declared.Fits(o.largest) {
+		return corrected
+	}
+	return model.Resources{
+		MilliCPU:     min(corrected.MilliCPU, o.largest.MilliCPU),
+		MemoryMiB:    min(corrected.MemoryMiB, o.largest.MemoryMiB),
+		Accelerators: corrected.Accelerators,
+		Slots:        corrected.Slots,
+	}
+}
+
+// learn takes over what an ended attempt really took.
+func (o *Owner) learn(held rack.Reservation, status port.TaskStatus, now time.Duration) {
+	if held.Template == "" {
+		return
+	}
+	o.learned.Observe(held.Template, estimate.Sample{
+		Declared:    status.Declared,
+		Peak:        held.Used.Max(status.Used),
+		DeclaredRun: held.ExpectedEnd - held.Placed,
+		Run:         now - held.Placed,
+		Killed:      status.State != port.TaskDone,
+	})
+}
+
 // refusePermit returns why a permit is not good here, or nil.
 func (o *Owner) refusePermit(p model.Permit) *peerpb.Refusal {
 	if p.Partition != o.id || p.PartitionEpoch != o.epoch {
@@ -93,7 +132,7 @@
 
 // place decides about all offers that wait and starts what found a worker.
 func (o *Owner) place(ctx context.Context) {
-	if !o.mayAct() || !o.env.ConfigFresh() {
+	if o.inFlight.Draining() || !o.mayAct() || !o.env.ConfigFresh() {
 		o.refusePending()
 		return
 	}
@@ -154,7 +193,7 @@
 		switch {
 		case decision.Reserved:
 			sends = append(sends, o.prepare(p, decision.VM, now))
-		case mayPark(decision.Reason) && now-p.arrived < parkTime && !o.draining.Load():
+		case mayPark(decision.Reason) && now-p.arrived < parkTime:
 			o.pending = append(o.pending, p)
 		default:
 			p.refuse(refusalOf(decision))
@@ -194,7 +233,7 @@
 		Team:        p.offer.Permit.Team,
 		Permit:      p.offer.Permit.ID,
 		Size:        p.offer.Permit.Size,
-		ExpectedRun: p.offer.ExpectedRun,
+		ExpectedRun: time.Duration(p.message.GetExpectedRunMs()) * time.Millisecond,
 		Epoch:       o.epoch,
 		StartBefore: clock + startWindow,
 		LeaseUntil:  clock + o.lease,
@@ -202,12 +241,16 @@
 	}
 	state.until = max(state.until, message.LeaseUntil)
 	o.starts[p.offer.Permit.ID] = &start{before: message.StartBefore}
-	o.inFlight.Add(1)
 	return sending{pending: p, vm: state.vm, message: message}
 }
 
 // send starts a reserved attempt on its worker and answers the offer.
 func (o *Owner) send(ctx context.Context, s sending) {
+	if !o.inFlight.Begin() {
+		o.notStarted(s, port.NotStarted.New("the rack changes its owner"))
+		return
+	}
+	defer o.inFlight.End()
 	if !o.mayAct() || !o.env.ConfigFresh() || o.env.Config().DomainOut(s.vm.FailureDomain) {
 		o.notStarted(s, port.NotStarted.New("not allowed to start any more"))
 		return
@@ -226,7 +269,6 @@
 }
 
 func (o *Owner) confirmed(s sending) {
-	defer o.inFlight.Done()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.env.Clock().Now()
@@ -243,7 +285,6 @@
 }
 
 func (o *Owner) notStarted(s sending, err error) {
-	defer o.inFlight.Done()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.starts, s.message.Permit)
@@ -254,7 +295,6 @@
 // unconfirmed keeps the reservation until the worker's reports tell whether
 // the attempt runs.
 func (o *Owner) unconfirmed(s sending, err error) {
-	defer o.inFlight.Done()
 	o.logger.WithError(err).WithField("vm", s.vm.ID).Warn("Start was not confirmed.")
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/app/sched/serve.go
+++ b/internal/app/sched/serve.go
@@ -30,8 +30,10 @@
 		return host.Ack(nil)
 	case *peerpb.Request_StatusQuery:
 		return &peerpb.Response{Body: &peerpb.Response_MemberStatus{MemberStatus: s.status()}}
+	case *peerpb.Request_ConfigQuery:
+		return &peerpb.Response{Body: &peerpb.Response_Config{Config: s.config.Answer(body.ConfigQuery)}}
 	}
-	if response := s.member.ServePeer(ctx, request); response != nil {
+	if response, ok := s.member.ServePeer(ctx, request); ok {
 		return response
 	}
 	return s.manager.Serve(ctx, request)
@@ -44,6 +46,19 @@
 	s.config.Vouch(report.GetConfigRevision(), age, model.MemberID(report.GetMember()))
 }
 
+// others returns the peer addresses of the other members whose VM is not gone.
+// It reports false while the members are not known.
+func (s *Sched) others() ([]string, bool) {
+	members := s.member.Members()
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		if member.ID != s.id && !s.vms.gone(member.Address) {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses, len(members) > 0
+}
+
 // status describes this member for operators.
 func (s *Sched) status() *peerpb.MemberStatus {
 	status := &peerpb.MemberStatus{
--- a/internal/core/rack/place.go
+++ b/internal/core/rack/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamhitch/balsamhitch/internal/core/fairness"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
 
@@ -13,51 +14,65 @@
 
 // batch is the state of one PlaceBatch call.
 type batch struct {
+	policy fairness.Policy
 	offers []Offer
-	teams  teamHeap
+	ghosts []Offer // claims of teams that did not offer
+	byTeam map[model.TeamID]*teamTurn
+	teams  []*teamTurn       // heap
 	misses []model.Resources // sizes that no indexed worker has room for
+	loans  []loan
+	shares []float64   // dominant share per offer
+	turns  []*teamTurn // of which used are in use
+	used   int
 }
 
 // teamTurn is a team's remaining offers within a batch.
 type teamTurn struct {
 	team  model.TeamID
-	ratio float64
-	queue []int // indexes of offers, next first
+	turn  fairness.Turn
+	ghost bool
+	queue []int // indexes of offers, or of ghosts, next first
+	space []int // memory of queue
 }
 
-type teamHeap []*teamTurn
-
-func (h teamHeap) Len() int { return len(h) }
-func (h teamHeap) Less(i, j int) bool {
-	if h[i].ratio != h[j].ratio {
-		return h[i].ratio < h[j].ratio
-	}
-	return h[i].team < h[j].team
-}
-func (h teamHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *teamHeap) Push(x any)   { *h = append(*h, x.(*teamTurn)) }
-func (h *teamHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
+func (b *batch) Len() int           { return len(b.teams) }
+func (b *batch) Less(i, j int) bool { return b.policy.Before(b.teams[i].turn, b.teams[j].turn) }
+func (b *batch) Swap(i, j int)      { b.teams[i], b.teams[j] = b.teams[j], b.teams[i] }
+func (b *batch) Push(x any)         { b.teams = append(b.teams, x.(*teamTurn)) }
+func (b *batch) Pop() any {
+	last := b.teams[len(b.teams)-1]
+	b.teams = b.teams[:len(b.teams)-1]
 	return last
 }
 
 // PlaceBatch decides on offers of any teams and returns one decision for each
-// in the order of the offers. The team with the lowest ratio goes first;
+// in the order of the offers. Teams take turns in the order of the policy;
 // within a team urgent tasks come first, then lower ratios, then larger sizes.
 // An offer whose permit is held already gets its earlier decision again.
 func (r *Rack) PlaceBatch(offers []Offer, now time.Duration) []Decision {
 	r.Expire(now)
 	decisions := make([]Decision, len(offers))
-	b := newBatch(offers, r.scale)
+	b := r.newBatch(offers)
+	r.addClaims(b, now)
+	heap.Init(b)
 	for len(b.teams) > 0 {
 		turn := b.teams[0]
 		i := turn.queue[0]
 		turn.queue = turn.queue[1:]
-		decisions[i] = r.decide(b, &offers[i], now)
-		b.advance(turn, decisions[i])
+		step := 0.0
+		if turn.ghost {
+			r.lend(b, &b.ghosts[i], now)
+			step = b.ghosts[i].RatioStep
+		} else {
+			decisions[i] = r.decide(b, &offers[i], now)
+			if decisions[i].Reserved {
+				step = offers[i].RatioStep
+			}
+		}
+		b.advance(turn, step)
 	}
+	r.returnLoans(b)
+	r.noteClaims(b, decisions, now)
 	return decisions
 }
 
@@ -66,40 +81,83 @@
 	return r.PlaceBatch([]Offer{o}, now)[0]
 }
 
-func newBatch(offers []Offer, scale model.Resources) *batch {
-	b := &batch{offers: offers}
-	turns := make(map[model.TeamID]*teamTurn)
+// newBatch groups the offers by team. It reuses the memory of the last batch.
+func (r *Rack) newBatch(offers []Offer) *batch {
+	b := &r.scratch
+	b.reset(r.policy.Order, offers)
 	for i := range offers {
 		team := offers[i].Permit.Team
-		turn := turns[team]
+		turn := b.byTeam[team]
 		if turn == nil {
-			turn = &teamTurn{team: team}
-			turns[team] = turn
-			b.teams = append(b.teams, turn)
+			turn = b.newTurn(team)
+			b.byTeam[team] = turn
 		}
-		turn.queue = append(turn.queue, i)
-	}
-	shares := make([]float64, len(offers))
-	for i := range offers {
-		shares[i] = offers[i].Size.DominantShare(scale)
+		turn.space = append(turn.space, i)
+		b.shares = append(b.shares, offers[i].Size.DominantShare(r.scale))
 	}
-	for _, turn := range b.teams {
-		slices.SortFunc(turn.queue, func(i, j int) int { return compareOffers(offers, shares, i, j) })
-		turn.ratio = offers[turn.queue[0]].Permit.Ratio
+	for _, turn := range b.turns[:b.used] {
+		slices.SortFunc(turn.space, b.compare)
+		b.addTurn(turn)
 	}
-	heap.Init(&b.teams)
 	return b
 }
 
-func compareOffers(offers []Offer, shares []float64, i, j int) int {
-	a, b := &offers[i], &offers[j]
+func (b *batch) reset(policy fairness.Policy, offers []Offer) {
+	b.policy, b.offers, b.used = policy, offers, 0
+	b.ghosts = b.ghosts[:0]
+	b.teams = b.teams[:0]
+	b.misses = b.misses[:0]
+	b.loans = b.loans[:0]
+	b.shares = b.shares[:0]
+	if b.byTeam == nil {
+		b.byTeam = make(map[model.TeamID]*teamTurn)
+	}
+	clear(b.byTeam)
+}
+
+func (b *batch) newTurn(team model.TeamID) *teamTurn {
+	if b.used == len(b.turns) {
+		b.turns = append(b.turns, &teamTurn{})
+	}
+	turn := b.turns[b.used]
+	b.used++
+	*turn = teamTurn{team: team, space: turn.space[:0]}
+	return turn
+}
+
+// addTurn lets a team take part from its first offer on.
+func (b *batch) addTurn(turn *teamTurn) {
+	turn.queue = turn.space
+	turn.turn.Team = turn.team
+	b.point(turn, 0)
+	b.teams = append(b.teams, turn)
+}
+
+// point sets the team's turn to its next offer.
+func (b *batch) point(turn *teamTurn, ratio float64) {
+	next := &b.next(turn)[turn.queue[0]]
+	turn.turn.Ratio = max(ratio, next.Permit.Ratio)
+	turn.turn.Urgent = next.Urgent
+	turn.turn.Waited = next.Waited
+}
+
+func (b *batch) next(turn *teamTurn) []Offer {
+	if turn.ghost {
+		return b.ghosts
+	}
+	return b.offers
+}
+
+// compare orders the offers of one team.
+func (b *batch) compare(i, j int) int {
+	x, y := &b.offers[i], &b.offers[j]
 	switch {
-	case a.Urgent != b.Urgent:
-		return before(a.Urgent)
-	case a.Permit.Ratio != b.Permit.Ratio:
-		return before(a.Permit.Ratio < b.Permit.Ratio)
-	case shares[i] != shares[j]:
-		return before(shares[i] > shares[j])
+	case x.Urgent != y.Urgent:
+		return before(x.Urgent)
+	case x.Permit.Ratio != y.Permit.Ratio:
+		return before(x.Permit.Ratio < y.Permit.Ratio)
+	case b.shares[i] != b.shares[j]:
+		return before(b.shares[i] > b.shares[j])
 	default:
 		return i - j
 	}
@@ -112,17 +170,14 @@
 	return 1
 }
 
-// advance moves the team back by what it just got.
-func (b *batch) advance(turn *teamTurn, d Decision) {
+// advance moves the first team back by the step that its ratio rose.
+func (b *batch) advance(turn *teamTurn, step float64) {
 	if len(turn.queue) == 0 {
-		heap.Pop(&b.teams)
+		heap.Pop(b)
 		return
 	}
-	if d.Reserved {
-		turn.ratio += d.Offer.RatioStep
-	}
-	turn.ratio = max(turn.ratio, b.offers[turn.queue[0]].Permit.Ratio)
-	heap.Fix(&b.teams, 0)
+	b.point(turn, turn.turn.Ratio+step)
+	heap.Fix(b, 0)
 }
 
 // decide places one offer or refuses it.
