Add balsamctl, the operators' client

Cause: operators publish templates, keys and failure domains, and must learn whether a change stands and is in force. A change is appended once and looked for on the log when the answer is lost; then every member on the VM list is asked for its revision. Exit codes: 0, 1 failure, 2 bad input, 3 conflict, 4 timeout. 'domain in' is an alias of 'domain back'. Ruled out: repeating an append whose answer was lost, since both could land.

--- /dev/null
+++ b/cmd/balsamctl/commands.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"os"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/logclient"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/peer"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/settings"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/vmclient"
+	"github.com/balsamhitch/balsamhitch/internal/app/ctl"
+	"github.com/balsamhitch/balsamhitch/internal/core/config"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+const description = `Drives a balsamhitch cell.
+
+Changes are published on the platform's log and take effect on every member
+within seconds. If two operators change the same object, the first wins and the
+other is told which revision it lost to.
+
+Typical first steps:
+
+  balsamctl check templates.toml           find mistakes, publish nothing
+  balsamctl template apply templates.toml  publish what has changed
+  balsamctl key issue quotes               make a key for the team "quotes"
+  balsamctl domain out marrakech           take a failure domain out
+  balsamctl status                         see members, teams and workers
+
+Exit codes: 0 done; 1 failure, nothing was changed; 2 bad input; 3 conflict,
+another change came first; 4 timeout, the change is or may be on the log.`
+
+// cli is the command line.
+type cli struct {
+	global
+
+	Check    checkCmd    `cmd:"" help:"Check a file and report all mistakes; publishes nothing."`
+	Template templateCmd `cmd:"" help:"Publish and show workspace templates."`
+	Key      keyCmd      `cmd:"" help:"Issue and withdraw keys."`
+	Domain   domainCmd   `cmd:"" help:"Take failure domains out of service and back."`
+	Status   statusCmd   `cmd:"" help:"Show members, partitions, teams and VMs."`
+}
+
+// global holds the flags of all commands.
+type global struct {
+	Settings string        `help:"Settings file (TOML)." env:"BALSAMCTL_SETTINGS" type:"path" placeholder:"FILE"`
+	Output   string        `help:"Form of the results: ${enum}." enum:"table,json" default:"table"`
+	Timeout  time.Duration `help:"How long a command may take, such as 30s (default: the settings')." placeholder:"DURATION"`
+	Wait     bool          `help:"Wait until a change is in force on every member." default:"true" negatable:""`
+}
+
+// offline returns a client for commands that need no cell.
+func (g *global) offline() *ctl.Client {
+	return &ctl.Client{
+		Random:  rand.Reader,
+		Out:     os.Stdout,
+		Notes:   os.Stderr,
+		JSON:    g.Output == "json",
+		Wait:    g.Wait,
+		Timeout: g.Timeout,
+	}
+}
+
+// client returns a client of the cell that the settings name.
+func (g *global) client() (*ctl.Client, error) {
+	if g.Settings == "" {
+		return nil, ctl.BadInput.New("no settings: give --settings FILE or set BALSAMCTL_SETTINGS")
+	}
+	if g.Timeout < 0 {
+		return nil, ctl.BadInput.New("--timeout must not be negative")
+	}
+	options, err := settings.LoadCtl(g.Settings)
+	if err != nil {
+		return nil, err
+	}
+	c := g.offline()
+	c.Log = logclient.New(options.Platform.Log)
+	c.VMList = vmclient.New(options.Platform.VMList)
+	c.Peer = peer.New(peer.Options{})
+	if c.Timeout == 0 {
+		c.Timeout = options.Timeout
+	}
+	return c, nil
+}
+
+// with runs a command on the cell.
+func (g *global) with(do func(*ctl.Client) error) error {
+	c, err := g.client()
+	if err != nil {
+		return err
+	}
+	return do(c)
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"File to check." type:"path"`
+	As   string `help:"What the file holds: ${enum}." enum:"templates,sched,entry,ctl" default:"templates"`
+}
+
+// Run checks the file.
+func (c *checkCmd) Run(g *global) error { return g.offline().CheckFile(c.File, c.As) }
+
+type templateCmd struct {
+	Apply  applyCmd        `cmd:"" help:"Publish the templates of a file that differ from the present ones."`
+	List   listTemplateCmd `cmd:"" help:"List all templates."`
+	Show   showCmd         `cmd:"" help:"Print a team's template as it stands in a file."`
+	Remove removeCmd       `cmd:"" help:"Remove a team's template and withdraw its keys."`
+}
+
+type applyCmd struct {
+	File     string `arg:"" help:"File of templates (TOML)." type:"path"`
+	Replaces uint64 `help:"Refuse templates that have changed since this revision." placeholder:"REVISION"`
+}
+
+// Run publishes the file.
+func (c *applyCmd) Run(ctx context.Context, g *global) error {
+	return g.with(func(client *ctl.Client) error { return client.ApplyTemplates(ctx, c.File, c.Replaces) })
+}
+
+type listTemplateCmd struct{}
+
+// Run lists the templates.
+func (*listTemplateCmd) Run(ctx context.Context, g *global) error {
+	return g.with(func(client *ctl.Client) error { return client.ListTemplates(ctx) })
+}
+
+type showCmd struct {
+	Team string `arg:"" help:"Team."`
+}
+
+// Run prints the template.
+func (c *showCmd) Run(ctx context.Context, g *global) error {
+	return g.with(func(client *ctl.Client) error { return client.ShowTemplate(ctx, model.TeamID(c.Team)) })
+}
+
+type removeCmd struct {
+	Team string `arg:"" help:"Team."`
+}
+
+// Run removes the template.
+func (c *removeCmd) Run(ctx context.Context, g *global) error {
+	return g.with(func(client *ctl.Client) error { return client.RemoveTemplate(ctx, model.TeamID(c.Team)) })
+}
+
+type keyCmd struct {
+	Issue    issueCmd    `cmd:"" help:"Issue a key; it is printed this once."`
+	Withdraw withdrawCmd `cmd:"" help:"Withdraw keys; they stop working within seconds."`
+	List     listKeyCmd  `cmd:"" help:"List the keys in use, without their secrets."`
+}
+
+type issueCmd struct {
+	Team string `arg:"" help:"Team that the key stands for."`
+}
+
+// Run issues the key.
+func (c *issueCmd) Run(ctx context.Context, g *global) error {
+	return g.with(func(client *ctl.Client) error { return client.IssueKey(ctx, model.TeamID(c.Team)) })
+}
+
+type withdrawCmd struct {
+	IDs []string `arg:"" name:"id" help:"Ids of the keys, as listed."`
+}
+
+// Run withdraws the keys.
+func (c *withdrawCmd) Run(ctx context.Context, g *global) error {
+	ids := make([]config.KeyID, len(c.IDs))
+	for i, id := range c.IDs {
+		ids[i] = config.KeyID(id)
+	}
+	return g.with(func(client *ctl.Client) error { return client.WithdrawKeys(ctx, ids) })
+}
+
+type listKeyCmd struct {
+	Team string `help:"Only keys of this team."`
+}
+
+// Run lists the keys.
+func (c *listKeyCmd) Run(ctx context.Context, g *global) error {
+	return g.with(func(client *ctl.Client) error { return client.ListKeys(ctx, model.TeamID(c.Team)) })
+}
+
+type domainCmd struct {
+	Out  domainOutCmd  `cmd:"" help:"Take a failure domain out: nothing starts there any more."`
+	Back domainBackCmd `cmd:"" aliases:"in" help:"Return a failure domain to service."`
+	List domainListCmd `cmd:"" help:"List the failure domains and which are out."`
+}
+
+type domainOutCmd struct {
+	Domain string `arg:"" help:"Failure domain."`
+}
+
+// Run takes the failure domain out.
+func (c *domainOutCmd) Run(ctx context.Context, g *global) error {
+	return g.with(func(client *ctl.Client) error { return client.TakeDomainOut(ctx, model.FailureDomain(c.Domain)) })
+}
+
+type domainBackCmd struct {
+	Domain string `arg:"" help:"Failure domain."`
+}
+
+// Run returns the failure domain.
+func (c *domainBackCmd) Run(ctx context.Context, g *global) error {
+	return g.with(func(client *ctl.Client) error { return client.ReturnDomain(ctx, model.FailureDomain(c.Domain)) })
+}
+
+type domainListCmd struct{}
+
+// Run lists the failure domains.
+func (*domainListCmd) Run(ctx context.Context, g *global) error {
+	return g.with(func(client *ctl.Client) error { return client.ListDomains(ctx) })
+}
+
+type statusCmd struct{}
+
+// Run shows the status.
+func (*statusCmd) Run(ctx context.Context, g *global) error {
+	return g.with(func(client *ctl.Client) error { return client.ShowStatus(ctx) })
+}
--- a/internal/adapter/settings/size.go
+++ b/internal/adapter/settings/size.go
@@ -44,3 +44,16 @@
 	}
 	return 0, errs.New("%q is not a size with a unit: B, KiB, MiB, GiB or TiB", s)
 }
+
+// String returns the size with the largest unit that needs no fraction.
+func (s Size) String() string {
+	for _, unit := range sizeUnits {
+		if s >= unit.bytes && s%unit.bytes == 0 {
+			return strconv.FormatInt(int64(s/unit.bytes), 10) + unit.suffix
+		}
+	}
+	return strconv.FormatInt(int64(s), 10) + "B"
+}
+
+// MarshalText writes the size as it stands in TOML.
+func (s Size) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
--- a/internal/adapter/settings/templates.go
+++ b/internal/adapter/settings/templates.go
@@ -5,6 +5,9 @@
 	"regexp"
 	"slices"
 
+	"github.com/pelletier/go-toml/v2"
+	"github.com/zeebo/errs"
+
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
 
@@ -167,3 +170,38 @@
 	}
 	return out
 }
+
+// FormatTemplates writes templates as LoadTemplates reads them.
+func FormatTemplates(templates []model.WorkspaceTemplate) ([]byte, error) {
+	var file Templates
+	for _, t := range templates {
+		file.Template = append(file.Template, templateOf(t))
+	}
+	data, err := toml.Marshal(file)
+	return data, errs.Wrap(err)
+}
+
+func templateOf(t model.WorkspaceTemplate) Template {
+	out := Template{
+		Team:  string(t.Team),
+		Kinds: []string{},
+		Share: t.Share,
+		UpperLimit: Amount{
+			Processors:   float64(t.UpperLimit.MilliCPU) / milliPerCPU,
+			Memory:       Size(t.UpperLimit.MemoryMiB) * MiB,
+			Accelerators: t.UpperLimit.Accelerators,
+			Slots:        t.UpperLimit.Slots,
+		},
+		Services:  []string{},
+		Open:      t.Open,
+		Urgent:    t.Urgent,
+		MaxQueued: t.MaxQueued,
+	}
+	for _, kind := range t.Kinds {
+		out.Kinds = append(out.Kinds, string(kind))
+	}
+	for _, s := range t.Services {
+		out.Services = append(out.Services, string(s))
+	}
+	return out
+}
--- a/internal/app/configwatch/follow.go
+++ b/internal/app/configwatch/follow.go
@@ -41,7 +41,7 @@
 	}
 	next := w.Snapshot().Revision()
 	sent := w.opt.Clock.Now()
-	batch, err := w.read(ctx, next, readWait)
+	batch, err := read(ctx, w.opt.Log, next, readWait)
 	if port.LogTruncated.Has(err) || (err == nil && batch.Earliest > next) {
 		return w.load(ctx)
 	}
@@ -62,17 +62,34 @@
 
 // load builds the configuration from all that the log keeps.
 func (w *Watcher) load(ctx context.Context) error {
-	earliest, err := w.earliest(ctx)
+	var sent time.Duration
+	fold, err := load(ctx, w.opt.Log, func() { sent = w.opt.Clock.Now() })
 	if err != nil {
 		return err
 	}
+	w.install(fold)
+	w.prove(fold.Revision(), sent)
+	return nil
+}
+
+// Load reads the whole configuration from the log once.
+func Load(ctx context.Context, log port.Log) (*config.Fold, error) {
+	return load(ctx, log, func() {})
+}
+
+// load calls asking before each read.
+func load(ctx context.Context, log port.Log, asking func()) (*config.Fold, error) {
+	earliest, err := findEarliest(ctx, log)
+	if err != nil {
+		return nil, err
+	}
 	loader := config.NewLoader(earliest)
 	next := earliest
 	for {
-		sent := w.opt.Clock.Now()
-		batch, err := w.read(ctx, next, 0)
+		asking()
+		batch, err := read(ctx, log, next, 0)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		for _, r := range batch.Records {
 			loader.Add(r.Offset, r.Data)
@@ -83,27 +100,25 @@
 		}
 		fold, ok := loader.Fold()
 		if !ok {
-			return Error.New("the log starts at offset %d and no checkpoint covers what came before", earliest)
+			return nil, Error.New("the log starts at offset %d and no checkpoint covers what came before", earliest)
 		}
-		w.install(fold)
-		w.prove(fold.Revision(), sent)
-		return nil
+		return fold, nil
 	}
 }
 
-// earliest returns the offset of the oldest record that the log keeps.
-func (w *Watcher) earliest(ctx context.Context) (uint64, error) {
-	batch, err := w.read(ctx, 0, 0)
+// findEarliest returns the offset of the oldest record that the log keeps.
+func findEarliest(ctx context.Context, log port.Log) (uint64, error) {
+	batch, err := read(ctx, log, 0, 0)
 	if port.LogTruncated.Has(err) {
 		return batch.Earliest, nil
 	}
 	return batch.Earliest, err
 }
 
-func (w *Watcher) read(ctx context.Context, from uint64, wait time.Duration) (port.Batch, error) {
+func read(ctx context.Context, log port.Log, from uint64, wait time.Duration) (port.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return w.opt.Log.Read(ctx, config.Stream, from, readLimit, wait)
+	return log.Read(ctx, config.Stream, from, readLimit, wait)
 }
 
 // endOf returns the offset after the last record of a read from next.
--- /dev/null
+++ b/internal/app/ctl/amount.go
@@ -0,0 +1,37 @@
+package ctl
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+// Amount is model.Resources as it is printed.
+type Amount struct {
+	MilliCPU     int64 `json:"milli_cpu"`
+	MemoryMiB    int64 `json:"memory_mib"`
+	Accelerators int64 `json:"accelerators"`
+	Slots        int64 `json:"slots"`
+}
+
+// String returns the dimensions that are not zero, with their units.
+func (a Amount) String() string {
+	if model.Resources(a).IsZero() {
+		return "0"
+	}
+	var parts []string
+	if a.MilliCPU != 0 {
+		parts = append(parts, processors(a.MilliCPU)+" cpu")
+	}
+	if a.MemoryMiB != 0 {
+		parts = append(parts, fmt.Sprintf("%d MiB", a.MemoryMiB))
+	}
+	if a.Accelerators != 0 {
+		parts = append(parts, fmt.Sprintf("%d acc", a.Accelerators))
+	}
+	if a.Slots != 0 {
+		parts = append(parts, fmt.Sprintf("%d slots", a.Slots))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/internal/app/ctl/print.go
@@ -0,0 +1,80 @@
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/findings"
+)
+
+// columnGap is the space between the columns of a table.
+const columnGap = 2
+
+// print prints a report and returns the error of the command.
+func (c *Client) print(report Report, err error) error {
+	if len(report.Changes) == 0 {
+		return err
+	}
+	return errors.Join(err, c.printReport(report))
+}
+
+func (c *Client) printReport(report Report) error {
+	if c.JSON {
+		return c.printJSON(report)
+	}
+	rows := [][]string{{"OBJECT", "VERDICT", "REVISION"}}
+	for _, o := range report.Changes {
+		revision := number(o.Revision)
+		if o.LostTo > 0 {
+			revision = "lost to " + number(o.LostTo)
+		}
+		rows = append(rows, []string{string(o.Object), string(o.Verdict), revision})
+	}
+	if err := c.printTable(rows); err != nil {
+		return err
+	}
+	if report.Key == "" {
+		return nil
+	}
+	return c.printf("key id  %s\nkey     %s\nThe key is shown this once; only its hash is kept.\n", report.ID, report.Key)
+}
+
+func (c *Client) printFindings(err error) error {
+	var list findings.List
+	if !c.JSON || !errors.As(err, &list) {
+		return err
+	}
+	return errors.Join(err, c.printJSON(list))
+}
+
+func (c *Client) printJSON(v any) error {
+	encoder := json.NewEncoder(c.Out)
+	encoder.SetIndent("", "  ")
+	return Failure.Wrap(encoder.Encode(v))
+}
+
+func (c *Client) printTable(rows [][]string) error {
+	w := tabwriter.NewWriter(c.Out, 0, 0, columnGap, ' ', 0)
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
+			return Failure.Wrap(err)
+		}
+	}
+	return Failure.Wrap(w.Flush())
+}
+
+func (c *Client) printf(format string, args ...any) error {
+	_, err := fmt.Fprintf(c.Out, format, args...)
+	return Failure.Wrap(err)
+}
+
+func processors(milliCPU int64) string {
+	const milli = 1000
+	return strconv.FormatFloat(float64(milliCPU)/milli, 'g', -1, 64)
+}
+
+func number(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/internal/app/ctl/publish.go
@@ -0,0 +1,165 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/config"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+const (
+	readLimit     = 512
+	readWait      = time.Second
+	retryDelay    = 100 * time.Millisecond
+	maxRetryDelay = time.Second
+)
+
+// Outcome is what became of one change.
+type Outcome struct {
+	Object   config.ObjectID `json:"object"`
+	Verdict  config.Verdict  `json:"verdict"`
+	Revision uint64          `json:"revision"` // of the change, if it stands
+	LostTo   uint64          `json:"lost_to,omitempty"`
+	Reason   string          `json:"reason,omitempty"`
+}
+
+// err returns the error that the outcome stands for.
+func (o Outcome) err() error {
+	switch o.Verdict {
+	case config.Applied, Unchanged:
+		return nil
+	case config.Lost:
+		return Conflict.New("%s: lost to revision %d, which came first; look at it and try again", o.Object, o.LostTo)
+	case config.Expired:
+		return Conflict.New("%s: too many other changes came first; try again", o.Object)
+	default:
+		return BadInput.New("%s: %s", o.Object, o.Reason)
+	}
+}
+
+// Unchanged is the verdict on a change that was not published because the
+// object already is as wanted.
+const Unchanged config.Verdict = "unchanged"
+
+// publish appends the changes, which replace what the fold holds, and returns
+// their outcomes in order. The fold then includes them. An append whose answer
+// is lost is looked for on the log, never repeated.
+func (c *Client) publish(ctx context.Context, fold *config.Fold, changes []config.Change) ([]Outcome, error) {
+	if len(changes) == 0 {
+		return nil, nil
+	}
+	ids := make([]string, len(changes))
+	records := make([][]byte, len(changes))
+	for i, change := range changes {
+		ids[i] = ulid.Make().String()
+		data, err := change.Encode(ids[i], fold.Revision())
+		if err != nil {
+			return nil, BadInput.Wrap(err)
+		}
+		records[i] = data
+	}
+	sent, err := c.append(ctx, records)
+	if !sent {
+		return nil, err
+	}
+	return c.find(ctx, fold, ids, err)
+}
+
+// append reports whether the records may be on the log. It repeats only calls
+// that certainly had no effect.
+func (c *Client) append(ctx context.Context, records [][]byte) (sent bool, err error) {
+	delay := newBackOff()
+	for {
+		err = c.appendOnce(ctx, records)
+		if err == nil {
+			return true, nil
+		}
+		if !port.NotStarted.Has(err) {
+			return true, err
+		}
+		if !pause(ctx, delay.NextBackOff()) {
+			return false, Failure.New("nothing was changed, the log takes no records: %w", err)
+		}
+	}
+}
+
+// appendOnce leaves time to look for the records if no answer comes.
+func (c *Client) appendOnce(ctx context.Context, records [][]byte) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout/3)
+	defer cancel()
+	_, err := c.Log.Append(ctx, config.Stream, records)
+	return err
+}
+
+// find reads on until it has met the records of all ids.
+func (c *Client) find(ctx context.Context, fold *config.Fold, ids []string, appendErr error) ([]Outcome, error) {
+	if appendErr != nil {
+		c.note("the log's answer was lost; looking for the change on the log")
+	}
+	outcomes := make([]Outcome, len(ids))
+	missing := make(map[string]int, len(ids))
+	for i, id := range ids {
+		missing[id] = i
+	}
+	delay := newBackOff()
+	for len(missing) > 0 {
+		batch, err := c.Log.Read(ctx, config.Stream, fold.Revision(), readLimit, readWait)
+		if err != nil {
+			if !pause(ctx, delay.NextBackOff()) {
+				return nil, notFound(appendErr, err)
+			}
+			continue
+		}
+		if ctx.Err() != nil && len(batch.Records) == 0 {
+			return nil, notFound(appendErr, ctx.Err())
+		}
+		delay.Reset()
+		for _, record := range batch.Records {
+			result := fold.Apply(record.Offset, record.Data)
+			if i, ok := missing[result.ID]; ok {
+				outcomes[i] = outcomeOf(result)
+				delete(missing, result.ID)
+			}
+		}
+	}
+	return outcomes, nil
+}
+
+func outcomeOf(r config.Result) Outcome {
+	return Outcome{Object: r.Object, Verdict: r.Verdict, Revision: r.Revision, LostTo: r.LostTo, Reason: r.Reason}
+}
+
+func notFound(appendErr, readErr error) error {
+	if appendErr != nil {
+		return Unknown.New("the change may still take effect: %w; it was not found on the log: %w", appendErr, readErr)
+	}
+	return Unknown.New("the change is on the log, but what became of it cannot be read: %w", readErr)
+}
+
+func newBackOff() *backoff.ExponentialBackOff {
+	delay := backoff.NewExponentialBackOff()
+	delay.InitialInterval = retryDelay
+	delay.MaxInterval = maxRetryDelay
+	return delay
+}
+
+// pause sleeps and reports whether the context still runs.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *Client) note(format string, args ...any) {
+	_, _ = fmt.Fprintf(c.Notes, format+"\n", args...)
+}
--- /dev/null
+++ b/internal/app/ctl/template.go
@@ -0,0 +1,154 @@
+package ctl
+
+import (
+	"context"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/settings"
+	"github.com/balsamhitch/balsamhitch/internal/core/config"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+// ApplyTemplates publishes the templates of a file that differ from the
+// present ones. If replaces is not 0, templates that have changed since that
+// revision are conflicts.
+func (c *Client) ApplyTemplates(ctx context.Context, path string, replaces uint64) error {
+	templates, err := settings.LoadTemplates(path)
+	if err != nil {
+		return err
+	}
+	report, err := c.change(ctx, func(now *config.Snapshot) ([]config.Change, []Outcome, error) {
+		changes, settled := planTemplates(now, templates, replaces)
+		return changes, settled, nil
+	})
+	return c.print(report, err)
+}
+
+func planTemplates(now *config.Snapshot, wanted []model.WorkspaceTemplate, replaces uint64) ([]config.Change, []Outcome) {
+	var changes []config.Change
+	var settled []Outcome
+	for _, t := range wanted {
+		object := config.TemplateObject(t.Team)
+		revision := now.ObjectRevision(object)
+		present, exists := now.Template(t.Team)
+		switch {
+		case exists && reflect.DeepEqual(present, t):
+			settled = append(settled, Outcome{Object: object, Verdict: Unchanged, Revision: revision})
+		case replaces > 0 && revision > replaces:
+			settled = append(settled, Outcome{Object: object, Verdict: config.Lost, LostTo: revision})
+		default:
+			changes = append(changes, config.PublishTemplate(t))
+		}
+	}
+	return changes, settled
+}
+
+// RemoveTemplate removes the template of a team and withdraws its keys.
+func (c *Client) RemoveTemplate(ctx context.Context, team model.TeamID) error {
+	report, err := c.change(ctx, single(config.RemoveTemplate(team)))
+	return c.print(report, err)
+}
+
+// TemplateLine is a template as it is listed.
+type TemplateLine struct {
+	Team       model.TeamID      `json:"team"`
+	Revision   uint64            `json:"revision"`
+	Kinds      []model.WorkKind  `json:"kinds"`
+	Share      float64           `json:"share"`
+	UpperLimit Amount            `json:"upper_limit"`
+	Services   []model.ServiceID `json:"services"`
+	Open       bool              `json:"open"`
+	Urgent     bool              `json:"urgent"`
+	MaxQueued  int               `json:"max_queued"`
+}
+
+func templateLine(t config.PublishedTemplate) TemplateLine {
+	return TemplateLine{
+		Team:       t.Team,
+		Revision:   t.Revision,
+		Kinds:      t.Kinds,
+		Share:      t.Share,
+		UpperLimit: Amount(t.UpperLimit),
+		Services:   t.Services,
+		Open:       t.Open,
+		Urgent:     t.Urgent,
+		MaxQueued:  t.MaxQueued,
+	}
+}
+
+// ListTemplates prints all templates.
+func (c *Client) ListTemplates(ctx context.Context) error {
+	fold, err := c.load(ctx)
+	if err != nil {
+		return err
+	}
+	lines := []TemplateLine{}
+	rows := [][]string{{"TEAM", "REVISION", "KINDS", "SHARE", "UPPER LIMIT", "SERVICES"}}
+	for _, t := range fold.Snapshot().Templates() {
+		line := templateLine(t)
+		lines = append(lines, line)
+		rows = append(rows, []string{
+			string(line.Team), number(line.Revision), joinNames(line.Kinds),
+			strconv.FormatFloat(line.Share, 'g', -1, 64), line.UpperLimit.String(), joinNames(line.Services),
+		})
+	}
+	if c.JSON {
+		return c.printJSON(lines)
+	}
+	return c.printTable(rows)
+}
+
+func joinNames[T ~string](names []T) string {
+	out := make([]string, len(names))
+	for i, name := range names {
+		out[i] = string(name)
+	}
+	return strings.Join(out, ",")
+}
+
+// ShowTemplate prints one template as it stands in a file.
+func (c *Client) ShowTemplate(ctx context.Context, team model.TeamID) error {
+	fold, err := c.load(ctx)
+	if err != nil {
+		return err
+	}
+	now := fold.Snapshot()
+	t, ok := now.Template(team)
+	if !ok {
+		return BadInput.New("team %q has no template", team)
+	}
+	revision := now.ObjectRevision(config.TemplateObject(team))
+	if c.JSON {
+		return c.printJSON(templateLine(config.PublishedTemplate{WorkspaceTemplate: t, Revision: revision}))
+	}
+	data, err := settings.FormatTemplates([]model.WorkspaceTemplate{t})
+	if err != nil {
+		return Failure.Wrap(err)
+	}
+	return c.printf("# revision %d\n%s", revision, data)
+}
+
+// CheckFile reads a file of the kind "templates", "sched", "entry" or "ctl"
+// and reports all findings.
+func (c *Client) CheckFile(path, kind string) error {
+	var err error
+	switch kind {
+	case "sched":
+		_, err = settings.LoadSched(path)
+	case "entry":
+		_, err = settings.LoadEntry(path)
+	case "ctl":
+		_, err = settings.LoadCtl(path)
+	default:
+		_, err = settings.LoadTemplates(path)
+	}
+	if err != nil {
+		return c.printFindings(err)
+	}
+	if c.JSON {
+		return c.printJSON([]struct{}{})
+	}
+	return c.printf("%s: no findings\n", path)
+}
