--- a/internal/app/ctl/publish.go
+++ b/internal/app/ctl/publish.go
@@ -23,7 +23,7 @@
 type Outcome struct {
 	Object   config.ObjectID `json:"object"`
 	Verdict  config.Verdict  `json:"verdict"`
-	Revision uint64          `json:"revision"` // of the change, if it stands
+	Revision uint64          `json:"revision"` // of the change
 	LostTo   uint64          `json:"lost_to,omitempty"`
 	Reason   string          `json:"reason,omitempty"`
 }
