Count tasks' waiting and run times by team and class

Cause: the users ask for histograms for each tenant or class. Ruled out: a start time in the job's record; its ULID carries it already. Change: histograms of waiting and run time, counters of refusals and ends. Conclusion: shown on /metrics of the scheduler that holds the team or rack.

--- a/internal/app/rackowner/vm.go
+++ b/internal/app/rackowner/vm.go
@@ -252,6 +252,7 @@
 	}
 	held, _ := o.rack.Ended(status.Permit, result, now)
 	o.learn(held, status, now)
+	countEnd(held, status.State, now)
 	delete(o.starts, status.Permit)
 	delete(o.payload, status.Permit)
 	named := held.Permit
--- a/internal/app/teamowner/schedule.go
+++ b/internal/app/teamowner/schedule.go
@@ -197,8 +197,10 @@
 		switch {
 		case result.GetRefusal() != nil:
 			o.state.Refused(task.Permit.ID, true, now)
+			o.countRefusal(result.GetRefusal().GetReason())
 		case result.GetVm() != "" && !result.GetUnknown():
 			o.state.Started(task.Permit.ID)
+			o.countStart(task, o.env.Clock().Wall())
 		}
 	}
 	if reply.GetSummary() != nil {
