Checkpoint batch work for urgent offers that find no room

Cause: an urgent task on a full cell waited for a batch task to end by itself. Ruled out: stopping tasks; a checkpoint keeps their progress. Change: a rack's owner asks its core for checkpoints when an urgent offer is parked; only idempotent batch tasks of teams with a higher ratio are taken.

--- a/internal/app/jobtest/cell_test.go
+++ b/internal/app/jobtest/cell_test.go
@@ -30,6 +30,7 @@
 
 const (
 	testTeam   = model.TeamID("layouts")
+	urgentTeam = model.TeamID("fittings")
 	workersPer = 2 // of each rack
 	racks      = 2
 	poolSize   = 200
@@ -66,6 +67,7 @@
 	loseNext int             // starts whose answer is lost
 	epoch    model.Epoch
 	calls    int
+	teams    map[model.JobID]model.TeamID // of submitted jobs
 }
 
 func newCell(t *testing.T) *cell {
@@ -87,6 +89,7 @@
 		holders: map[model.PartitionID]*holder{},
 		out:     map[model.FailureDomain]bool{},
 		silent:  map[string]bool{},
+		teams:   map[model.JobID]model.TeamID{},
 		template: model.WorkspaceTemplate{
 			Team:       testTeam,
 			Kinds:      []model.WorkKind{model.WorkBatch, model.WorkGang},
@@ -184,23 +187,27 @@
 	c.calls++
 	call := fmt.Sprint("call-", c.calls)
 	job.ID = model.JobID(ulid.Make().String())
-	job.Team = testTeam
-	response, err := c.ask(model.TeamPartition(testTeam), &peerpb.Request{
+	if job.Team == "" {
+		job.Team = testTeam
+	}
+	response, err := c.ask(model.TeamPartition(job.Team), &peerpb.Request{
 		Body: &peerpb.Request_SubmitJob{SubmitJob: &peerpb.SubmitJob{Job: convert.JobPB(job)}},
 	})
 	require.NoError(c.t, err)
 	reply := response.GetSubmitJob()
 	require.Nil(c.t, reply.GetRefusal(), "%v", reply.GetRefusal())
 	c.history.Add(history.Event{
-		Kind: history.Accepted, Call: call, Job: model.JobID(reply.GetJobId()), Team: testTeam,
+		Kind: history.Accepted, Call: call, Job: model.JobID(reply.GetJobId()), Team: job.Team,
 		Tasks: job.Tasks, NonIdempotent: job.NonIdempotent,
 	})
+	c.teams[model.JobID(reply.GetJobId())] = job.Team
 	return model.JobID(reply.GetJobId())
 }
 
 func (c *cell) status(id model.JobID) *peerpb.JobStatus {
-	response, err := c.ask(model.TeamPartition(testTeam), &peerpb.Request{
-		Body: &peerpb.Request_GetJob{GetJob: &peerpb.GetJob{Team: string(testTeam), JobId: string(id)}},
+	name := c.teams[id]
+	response, err := c.ask(model.TeamPartition(name), &peerpb.Request{
+		Body: &peerpb.Request_GetJob{GetJob: &peerpb.GetJob{Team: string(name), JobId: string(id)}},
 	})
 	if err != nil {
 		return &peerpb.JobStatus{}
@@ -343,11 +350,13 @@
 
 func (v *configView) Revision() uint64 { return 1 }
 
-func (v *configView) Template(model.TeamID) (model.WorkspaceTemplate, bool) {
+func (v *configView) Template(name model.TeamID) (model.WorkspaceTemplate, bool) {
 	c := (*cell)(v)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.template, true
+	template := c.template
+	template.Team = name
+	return template, true
 }
 
 func (v *configView) Teams() []model.TeamID { return []model.TeamID{testTeam} }
@@ -425,3 +434,19 @@
 	c.mu.Unlock()
 	w.SetGone(gone)
 }
+
+// addTeam starts the owner of another team with the same template.
+func (c *cell) addTeam(name model.TeamID) {
+	c.history.Add(history.Event{Kind: history.LimitSet, Team: name, Size: c.template.UpperLimit})
+	c.take(model.TeamPartition(name))
+}
+
+// firstStart returns when the first task of a job started.
+func (c *cell) firstStart(id model.JobID) time.Time {
+	for _, e := range c.history.Since(0) {
+		if e.Kind == history.TaskStart && e.Job == id {
+			return e.At
+		}
+	}
+	return time.Time{}
+}
--- a/internal/app/jobtest/jobs_test.go
+++ b/internal/app/jobtest/jobs_test.go
@@ -208,3 +208,24 @@
 		c.checkGangWhole(id, job.Tasks)
 	})
 }
+
+// urgentLimit is the time within which urgent work starts.
+const urgentLimit = 2600 * time.Millisecond
+
+func TestUrgentWorkCheckpointsBatchWorkOfATeamAboveItsShare(t *testing.T) {
+	run(t, func(c *cell) {
+		c.setLimit(model.Resources{MilliCPU: 1 << 20, MemoryMiB: 1 << 30})
+		full := c.submit(batch(racks*workersPer*4, time.Minute))
+		time.Sleep(3 * time.Second)
+		c.addTeam(urgentTeam)
+		time.Sleep(500 * time.Millisecond)
+		job := batch(2, 200*time.Millisecond)
+		job.Team = urgentTeam
+		job.Urgent = true
+		sent := time.Now()
+		id := c.submit(job)
+		c.await(id, team.JobDone, 20*time.Second)
+		assert.Less(t, c.firstStart(id).Sub(sent), urgentLimit)
+		c.await(full, team.JobDone, 5*time.Minute)
+	})
+}
--- a/internal/app/rackowner/place.go
+++ b/internal/app/rackowner/place.go
@@ -78,6 +78,9 @@
 		Urgent:      message.GetUrgent(),
 		Template:    name,
 		Avoid:       avoid,
+
+		NonIdempotent: message.GetNonIdempotent(),
+		Preemptible:   message.GetPreemptible(),
 	}
 }
 
@@ -108,7 +111,7 @@
 	}
 	o.learned.Observe(held.Template, estimate.Sample{
 		Declared:    status.Declared,
-		Peak:        held.Used.Max(status.Used),
+		Peak:        held.Peak.Max(status.Used),
 		DeclaredRun: held.ExpectedEnd - held.Placed,
 		Run:         now - held.Placed,
 		Killed:      status.State != port.TaskDone,
@@ -136,7 +139,11 @@
 		o.refusePending()
 		return
 	}
-	for _, s := range o.decide() {
+	sends, checkpoints := o.decide()
+	for _, action := range checkpoints {
+		o.startAction(ctx, action)
+	}
+	for _, s := range sends {
 		if err := o.pool.Submit(func() { o.send(ctx, s) }); err != nil {
 			o.notStarted(s, err)
 		}
@@ -167,12 +174,14 @@
 	message port.StartTask
 }
 
-func (o *Owner) decide() []sending {
+// decide returns the attempts that found a worker, and the checkpoints that
+// make room for urgent offers that found none.
+func (o *Owner) decide() ([]sending, []rack.Action) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.rack.Expire(o.env.Clock().Now())
 	if len(o.pending) == 0 {
-		return nil
+		return nil, nil
 	}
 	now := o.env.Clock().Now()
 	offers := make([]rack.Offer, 0, len(o.pending))
@@ -188,6 +197,7 @@
 	}
 	o.pending = nil
 	var sends []sending
+	var checkpoints []rack.Action
 	for i, decision := range o.rack.PlaceBatch(offers, now) {
 		p := waiting[i]
 		switch {
@@ -195,11 +205,12 @@
 			sends = append(sends, o.prepare(p, decision.VM, now))
 		case mayPark(decision.Reason) && now-p.arrived < parkTime:
 			o.pending = append(o.pending, p)
+			checkpoints = append(checkpoints, o.rack.Preempt(p.offer, now)...)
 		default:
 			p.refuse(refusalOf(decision))
 		}
 	}
-	return sends
+	return sends, checkpoints
 }
 
 func mayPark(reason rack.Reason) bool {
--- a/internal/app/rackowner/vm.go
+++ b/internal/app/rackowner/vm.go
@@ -324,6 +324,23 @@
 	return append([]port.TaskAttempt(nil), acks[len(sent):]...)
 }
 
+// startAction carries out an action on the pool and looks soon for its effect.
+func (o *Owner) startAction(ctx context.Context, action rack.Action) {
+	o.mu.Lock()
+	state := o.vms[action.VM]
+	if state != nil {
+		state.nextAt = min(state.nextAt, o.env.Clock().Now()+minBeat)
+	}
+	o.mu.Unlock()
+	if state == nil {
+		return
+	}
+	address := state.vm.Address
+	if err := o.pool.Submit(func() { o.act(ctx, address, []rack.Action{action}) }); err != nil {
+		o.logger.WithError(err).WithField("vm", action.VM).Warn("Action was not sent.")
+	}
+}
+
 // act carries out what the rack asks of a worker.
 func (o *Owner) act(ctx context.Context, address string, actions []rack.Action) {
 	for _, action := range actions {
--- a/internal/app/teamowner/schedule.go
+++ b/internal/app/teamowner/schedule.go
@@ -178,9 +178,17 @@
 		Urgent:         task.Job.Urgent,
 		Template:       task.Job.Template,
 		AvoidVms:       avoid,
+		NonIdempotent:  task.Job.NonIdempotent,
+		Preemptible:    preemptible(task.Job),
 	}
 }
 
+// preemptible reports whether tasks of the job may be checkpointed: a member of
+// a gang would stop the others, and non-idempotent work must not start twice.
+func preemptible(job model.Job) bool {
+	return job.Kind == model.WorkBatch && !job.Urgent && !job.NonIdempotent
+}
+
 // takeResults takes over the rack's answer to each offer.
 func (o *Owner) takeResults(tasks []team.TaskOffer, reply *peerpb.OfferTasksReply) {
 	o.mu.Lock()
