--- a/internal/app/ctl/ctl.go
+++ b/internal/app/ctl/ctl.go
@@ -37,7 +37,7 @@
 	// in force on every member.
 	NotInForce = errs.Class("not in force everywhere yet")
 	// Failure is the class of all other errors; nothing was changed.
-	Failure = errs.Class("balsamctl")
+	Failure = errs.Class("failure")
 )
 
 // ExitCode returns the exit code that stands for the error.
@@ -71,11 +71,22 @@
 	Timeout time.Duration
 }
 
-// load reads the present configuration.
+// load reads the present configuration. It repeats reads that fail until the
+// timeout.
 func (c *Client) load(ctx context.Context) (*config.Fold, error) {
-	fold, err := configwatch.Load(ctx, c.Log)
-	if err != nil {
-		return nil, Failure.New("the configuration cannot be read from the log: %w", err)
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	delay := newBackOff()
+	for noted := false; ; noted = true {
+		fold, err := configwatch.Load(ctx, c.Log)
+		if err == nil {
+			return fold, nil
+		}
+		if !noted {
+			c.note("the configuration cannot be read from the log, trying again: %v", err)
+		}
+		if !pause(ctx, delay.NextBackOff()) {
+			return nil, Failure.New("the configuration cannot be read from the log: %w", err)
+		}
 	}
-	return fold, nil
 }
--- a/internal/app/ctl/ctl_test.go
+++ b/internal/app/ctl/ctl_test.go
@@ -264,6 +264,19 @@
 	assert.Contains(t, d.out.String(), string(Unchanged))
 }
 
+func TestUnreadableLogEndsInFailureAtTheTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(porttest.NewMemLog())
+		start := time.Now()
+		d.access.SetFaults(porttest.Faults{ReadDelay: time.Hour})
+		assert.Equal(t, ExitFailure, ExitCode(d.ListKeys(t.Context(), "")))
+		assert.Equal(t, d.Timeout, time.Since(start))
+		d.access.SetFaults(porttest.Faults{Down: true})
+		time.AfterFunc(3*time.Second, func() { d.access.SetFaults(porttest.Faults{}) })
+		assert.NoError(t, d.ListKeys(t.Context(), ""))
+	})
+}
+
 func TestExitCodes(t *testing.T) {
 	for want, err := range map[int]error{
 		ExitOK:       nil,
