--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -56,7 +56,8 @@
 	d.required("failure_domain", s.FailureDomain)
 	d.checkPlatform(s.Platform)
 	d.checkLease(s.Lease)
-	d.checkConfig(s.Config)
+	d.checkFreshFor(s.Config.FreshFor)
+	d.positive("config.checkpoint_every", s.Config.CheckpointEvery)
 	d.oneOf("policy.name", s.Policy.Name, PolicyWaiting, PolicyShare)
 	d.positiveInt("policy.candidates", int64(s.Policy.Candidates))
 	d.positiveInt("limits.max_message", int64(s.Limits.MaxMessage))
@@ -73,7 +74,7 @@
 	d.address("sched", s.Sched, false)
 	d.required("failure_domain", s.FailureDomain)
 	d.checkPlatform(s.Platform)
-	d.checkConfig(s.Config)
+	d.checkFreshFor(s.Config.FreshFor)
 	d.positiveInt("limits.max_body", int64(s.Limits.MaxBody))
 	d.positiveInt("limits.max_header", int64(s.Limits.MaxHeader))
 	d.positiveInt("limits.max_in_flight", int64(s.Limits.MaxInFlight))
@@ -112,9 +113,9 @@
 // are out stop within seconds.
 const maxFreshFor = 10 * time.Second
 
-func (d *document) checkConfig(c Config) {
-	d.positive("config.fresh_for", c.FreshFor)
-	if c.FreshFor > maxFreshFor {
+func (d *document) checkFreshFor(freshFor time.Duration) {
+	d.positive("config.fresh_for", freshFor)
+	if freshFor > maxFreshFor {
 		d.add("config.fresh_for", "must be at most %s", maxFreshFor)
 	}
 }
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -5,16 +5,16 @@
 // Sched is the settings of balsam-sched.
 type Sched struct {
 	// Member names the process; a ULID is generated when it is empty.
-	Member         string   `toml:"member"`
-	Address        string   `toml:"address"` // host:port for peers
-	MetricsAddress string   `toml:"metrics_address"`
-	FailureDomain  string   `toml:"failure_domain"`
-	Platform       Platform `toml:"platform"`
-	Lease          Lease    `toml:"lease"`
-	Config         Config   `toml:"config"`
-	Policy         Policy   `toml:"policy"`
-	Limits         Limits   `toml:"limits"`
-	Log            Logging  `toml:"log"`
+	Member         string      `toml:"member"`
+	Address        string      `toml:"address"` // host:port for peers
+	MetricsAddress string      `toml:"metrics_address"`
+	FailureDomain  string      `toml:"failure_domain"`
+	Platform       Platform    `toml:"platform"`
+	Lease          Lease       `toml:"lease"`
+	Config         SchedConfig `toml:"config"`
+	Policy         Policy      `toml:"policy"`
+	Limits         Limits      `toml:"limits"`
+	Log            Logging     `toml:"log"`
 }
 
 // Entry is the settings of balsam-entry.
@@ -57,6 +57,15 @@
 	FreshFor time.Duration `toml:"fresh_for"`
 }
 
+// SchedConfig is how a scheduler follows and keeps the configuration.
+type SchedConfig struct {
+	// FreshFor is as in Config.
+	FreshFor time.Duration `toml:"fresh_for"`
+	// CheckpointEvery is the time between checkpoints of the configuration; it
+	// must be well within the log's retention.
+	CheckpointEvery time.Duration `toml:"checkpoint_every"`
+}
+
 // The scheduling policies.
 const (
 	PolicyWaiting = "waiting" // shortest waiting time first
@@ -117,7 +126,7 @@
 			Duration: 1500 * time.Millisecond,
 			Drift:    100 * time.Millisecond,
 		},
-		Config: defaultConfig(),
+		Config: SchedConfig{FreshFor: defaultFreshFor, CheckpointEvery: 10 * time.Minute},
 		Policy: Policy{Name: PolicyWaiting, OfferWindow: 2 * time.Millisecond, Candidates: 3},
 		Limits: Limits{
 			MaxMessage:      4 * MiB,
@@ -133,7 +142,7 @@
 // DefaultEntry returns the values of settings that a file leaves out.
 func DefaultEntry() Entry {
 	return Entry{
-		Config: defaultConfig(),
+		Config: Config{FreshFor: defaultFreshFor},
 		Limits: EntryLimits{
 			MaxBody:        1 * MiB,
 			MaxHeader:      16 * KiB,
@@ -156,9 +165,7 @@
 	return Ctl{Timeout: 15 * time.Second}
 }
 
-func defaultConfig() Config {
-	return Config{FreshFor: 3 * time.Second}
-}
+const defaultFreshFor = 3 * time.Second
 
 func defaultLogging() Logging {
 	return Logging{Level: "info", Format: FormatText}
