Serve callers over HTTP: quick requests, jobs, keys, problems

Cause: callers need one front that checks what they send, holds their connection through takeovers and never says more than it knows.

Ruled out: hertz's own shutdown (it does not wait on standard connections that are kept open); a per-read timeout alone (a caller that sends one byte at a time holds a connection for ever); closing right after an error answer (the reset took the 413 away from the caller in the first test run).

Change: app/entry performs the actions of core/request over the peer port, watches whether the owner it waits for still holds its partition, repeats a job's submission under the same id, records ends at the team's owner, bounds connections, requests in flight and the time a request may take to arrive, and reports all findings of a bad request together. Idle connections are closed in a shutdown only after a second, since a request may be on its way on them.

Seen failing first, each with its guard removed: team of the key, freshness of the configuration, former holder's permit, frozen owner, old attempt's answer, recording of ends before exit, idle grace, wait for requests in flight, slow requests, connection bound, unknown jobs, requests in flight.

--- /dev/null
+++ b/internal/app/entry/drive.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/request"
+	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+const (
+	// answerGrace is how long past the deadline the truth about a request is
+	// waited for.
+	answerGrace  = 250 * time.Millisecond
+	firstBackoff = 10 * time.Millisecond
+	maxBackoff   = 200 * time.Millisecond
+)
+
+// driver performs the actions of one request's machine.
+type driver struct {
+	*Server
+	q       *quick
+	machine *request.Machine
+	delays  *backoff.ExponentialBackOff
+	sentAt  time.Duration
+}
+
+// drive takes a request to its single result.
+func (s *Server) drive(ctx context.Context, q *quick) request.Result {
+	d := &driver{Server: s, q: q, machine: request.New(request.Request{
+		ID: q.ID, NonIdempotent: q.NonIdempotent, CallerKey: q.callerKey,
+	})}
+	s.budgets.attempted(q.Team)
+	action := d.machine.Start()
+	for action.Kind != request.Reply {
+		action = d.perform(ctx, action)
+	}
+	s.stats.late.Add(d.machine.Dropped())
+	return action.Result
+}
+
+func (d *driver) perform(ctx context.Context, action request.Action) request.Action {
+	if !d.pause(ctx, action.Backoff) {
+		return d.machine.Expired()
+	}
+	switch action.Kind {
+	case request.Admit:
+		return d.machine.Admitted(action.Attempt, d.admit(ctx, action))
+	case request.Execute:
+		return d.execute(ctx, action)
+	default:
+		return d.machine.Expired()
+	}
+}
+
+// pause waits before a retry, the longer the more there were. It returns
+// false at the deadline.
+func (d *driver) pause(ctx context.Context, retries int) bool {
+	if retries == 0 {
+		return ctx.Err() == nil
+	}
+	if d.delays == nil {
+		d.delays = backoff.NewExponentialBackOff()
+		d.delays.InitialInterval = firstBackoff
+		d.delays.MaxInterval = maxBackoff
+	}
+	timer := time.NewTimer(d.delays.NextBackOff())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// admit asks the team's owner for a permit.
+func (d *driver) admit(ctx context.Context, action request.Action) request.Verdict {
+	avoid := make([]string, 0, len(action.Avoid))
+	for _, partition := range action.Avoid {
+		avoid = append(avoid, string(partition))
+	}
+	response, err := d.callOwner(ctx, model.TeamPartition(d.q.Team), takeoverPatience{}, &peerpb.Request{
+		Body: &peerpb.Request_AdmitQuick{AdmitQuick: &peerpb.AdmitQuick{
+			Team:           string(d.q.Team),
+			RequestId:      string(d.q.ID),
+			IdempotencyKey: d.q.IdempotencyKey,
+			Service:        string(d.q.Service),
+			NonIdempotent:  d.q.NonIdempotent,
+			Urgent:         d.q.Urgent,
+			DeadlineMs:     leftMS(ctx),
+			Attempt:        int32(action.Attempt),
+			Avoid:          avoid,
+		}},
+	})
+	reply := response.GetAdmitQuick()
+	if err != nil || reply == nil {
+		return request.Verdict{Refusal: unreachable("the team's owner", err)}
+	}
+	return verdictOf(reply)
+}
+
+func verdictOf(reply *peerpb.AdmitQuickReply) request.Verdict {
+	switch {
+	case reply.GetPermit() != nil:
+		permit := convert.Permit(reply.GetPermit())
+		return request.Verdict{Permit: &permit}
+	case reply.GetKnown() != nil:
+		return request.Verdict{Known: knownResult(reply.GetKnown())}
+	default:
+		return request.Verdict{Refusal: refusalOf(reply.GetRefusal())}
+	}
+}
+
+// knownResult returns a recorded end. One without a whole answer is unknown.
+func knownResult(known *peerpb.KnownAnswer) *request.Result {
+	result := &request.Result{Outcome: model.Outcome(known.GetOutcome()), Answer: convert.Answer(known.GetAnswer())}
+	ended := result.Outcome == model.OutcomeDone || result.Outcome == model.OutcomeFailed
+	if !ended || result.Answer.Status == 0 {
+		result.Outcome = model.OutcomeUnknown
+		result.Refusal = request.Refusal{
+			Reason: request.Conflict,
+			Detail: "a request with this idempotency key came before; its answer is not known",
+		}
+	}
+	return result
+}
+
+// execute sends the request to the holder of the permit's target group.
+func (d *driver) execute(ctx context.Context, action request.Action) request.Action {
+	budget := func() bool { return d.budgets.take(d.q.Team) }
+	if !d.stillHeld(action.Permit) {
+		return d.machine.Executed(action.Attempt, request.Attempt{
+			NotSent: true,
+			Refusal: request.Refusal{Reason: request.StaleEpoch, Detail: "the target group has changed its owner"},
+		}, budget)
+	}
+	now := d.options.Clock.Now()
+	if d.sentAt == 0 {
+		d.stats.waited(d.q.Team, d.q.class, now-d.q.arrived)
+	}
+	d.sentAt = now
+	response, err := d.callOwner(ctx, action.Permit.Partition, takeoverPatience{answers: true, forever: d.q.NonIdempotent}, &peerpb.Request{
+		Body: &peerpb.Request_ExecuteQuick{ExecuteQuick: &peerpb.ExecuteQuick{
+			Permit:        convert.PermitPB(action.Permit),
+			RequestId:     string(d.q.ID),
+			Attempt:       int32(action.Attempt),
+			Service:       string(d.q.Service),
+			NonIdempotent: d.q.NonIdempotent,
+			Urgent:        d.q.Urgent,
+			DeadlineMs:    leftMS(ctx),
+			ContentType:   d.q.ContentType,
+			Body:          d.q.Body,
+		}},
+	})
+	d.stats.served(d.q.Team, d.q.class, d.options.Clock.Now()-d.sentAt)
+	reply := response.GetExecuteQuick()
+	if reply != nil && int(reply.GetAttempt()) == action.Attempt {
+		next := d.machine.Executed(action.Attempt, attemptOf(reply), budget)
+		if next.Kind != request.Ignore {
+			return next
+		}
+	}
+	// No answer, or one to another request: nothing is known.
+	return d.machine.Executed(action.Attempt, request.Attempt{
+		Request: d.q.ID,
+		Outcome: model.OutcomeUnknown,
+		Refusal: unreachable("the target group's owner", err),
+		NotSent: port.NotStarted.Has(err),
+	}, budget)
+}
+
+// stillHeld reports whether the permit is for the holder that this entry would
+// send to.
+func (d *driver) stillHeld(permit model.Permit) bool {
+	_, epoch, ok := d.options.Directory.Owner(permit.Partition)
+	return ok && epoch == permit.PartitionEpoch
+}
+
+func attemptOf(reply *peerpb.ExecuteQuickReply) request.Attempt {
+	return request.Attempt{
+		Request: model.RequestID(reply.GetRequestId()),
+		Outcome: model.Outcome(reply.GetOutcome()),
+		Answer:  convert.Answer(reply.GetAnswer()),
+		Refusal: refusalOf(reply.GetRefusal()),
+	}
+}
+
+func refusalOf(refusal *peerpb.Refusal) request.Refusal {
+	return request.Refusal{
+		Reason:     request.Reason(refusal.GetReason()),
+		Detail:     refusal.GetDetail(),
+		RetryAfter: time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
+
+func unreachable(who string, err error) request.Refusal {
+	detail := who + " did not answer"
+	if err != nil {
+		detail += ": " + err.Error()
+	}
+	return request.Refusal{Reason: request.Unavailable, Detail: detail}
+}
+
+// leftMS returns the time until the context's deadline, rounded down so that a
+// member gives up before its caller does.
+func leftMS(ctx context.Context) int64 {
+	deadline, _ := ctx.Deadline()
+	return max(1, time.Until(deadline).Milliseconds())
+}
--- /dev/null
+++ b/internal/app/entry/problem.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/findings"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/request"
+)
+
+// The headers of the callers' interface.
+const (
+	headerService       = "Balsam-Service"
+	headerDeadline      = "Balsam-Deadline"
+	headerNonIdempotent = "Balsam-Non-Idempotent"
+	headerKey           = "Idempotency-Key"
+	headerRequest       = "Balsam-Request"  // of answers: the request's id
+	headerOutcome       = "Balsam-Outcome"  // of answers
+	headerReplayed      = "Balsam-Replayed" // of answers that were recorded earlier
+)
+
+const (
+	problemContent = "application/problem+json"
+	jsonContent    = "application/json"
+)
+
+// problem is an RFC 9457 document.
+type problem struct {
+	Type     string        `json:"type"`
+	Title    string        `json:"title"`
+	Status   int           `json:"status"`
+	Detail   string        `json:"detail,omitempty"`
+	Outcome  model.Outcome `json:"outcome"`
+	Findings []fault       `json:"findings,omitempty"`
+
+	retryAfter time.Duration
+	challenge  bool // ask for a key
+}
+
+// fault is one finding about a request.
+type fault struct {
+	Place   string `json:"place"` // such as "header Balsam-Deadline" or "body tasks"
+	Problem string `json:"problem"`
+}
+
+func (p problem) write(c *app.RequestContext) {
+	data, err := json.Marshal(p)
+	if err != nil {
+		c.SetStatusCode(http.StatusInternalServerError)
+		return
+	}
+	c.Header(headerOutcome, string(p.Outcome))
+	if p.retryAfter > 0 {
+		seconds := int(math.Ceil(p.retryAfter.Seconds()))
+		c.Header("Retry-After", strconv.Itoa(max(1, seconds)))
+	}
+	if p.challenge {
+		c.Header("WWW-Authenticate", `Bearer realm="balsamhitch"`)
+	}
+	c.Data(p.Status, problemContent, data)
+}
+
+func newProblem(reason request.Reason, detail string) problem {
+	status := statusOf(reason)
+	return problem{
+		Type:    problemType(reasonName(reason)),
+		Title:   http.StatusText(status),
+		Status:  status,
+		Detail:  detail,
+		Outcome: model.OutcomeNotRun,
+	}
+}
+
+// refusalProblem returns the problem of a request that ended without a result.
+func refusalProblem(outcome model.Outcome, refusal request.Refusal) problem {
+	p := newProblem(refusal.Reason, refusal.Detail)
+	p.Outcome = outcome
+	p.retryAfter = refusal.RetryAfter
+	if outcome == model.OutcomeUnknown && p.Status == http.StatusServiceUnavailable {
+		// 503 would invite a retry as if nothing had happened.
+		p.Status = http.StatusBadGateway
+		p.Title = "Outcome unknown"
+	}
+	if p.retryAfter == 0 && outcome == model.OutcomeNotRun && retryHelps(refusal.Reason) {
+		p.retryAfter = time.Second
+	}
+	return p
+}
+
+func retryHelps(reason request.Reason) bool {
+	switch reason {
+	case request.Unavailable, request.NotOwner, request.StaleEpoch, request.QueueFull,
+		request.OverLimit, request.NoCapacity, request.DomainOut:
+		return true
+	default:
+		return false
+	}
+}
+
+func statusOf(reason request.Reason) int {
+	switch reason {
+	case request.OverLimit, request.QueueFull:
+		return http.StatusTooManyRequests
+	case request.Deadline:
+		return http.StatusGatewayTimeout
+	case request.NotFound:
+		return http.StatusNotFound
+	case request.Conflict:
+		return http.StatusConflict
+	case request.Invalid:
+		return http.StatusBadRequest
+	case request.NeverFits:
+		return http.StatusUnprocessableEntity
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// findingsProblem reports all faults of a request together.
+func findingsProblem(list findings.List) problem {
+	p := newProblem(request.Invalid, "the request has "+strconv.Itoa(len(list))+" faults; see findings")
+	for _, f := range list {
+		p.Findings = append(p.Findings, fault{Place: f.File + " " + f.Key, Problem: f.Problem})
+	}
+	return p
+}
+
+// keyProblem refuses a request for its key.
+func keyProblem(status int, name, detail string) problem {
+	return problem{
+		Type:      problemType(name),
+		Title:     http.StatusText(status),
+		Status:    status,
+		Detail:    detail,
+		Outcome:   model.OutcomeNotRun,
+		challenge: status == http.StatusUnauthorized,
+	}
+}
--- /dev/null
+++ b/internal/app/entry/routes.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/request"
+)
+
+func (s *Server) routes() {
+	h := s.hertz
+	h.Use(s.closeWhileDraining)
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
+	h.GET("/readyz", s.readyz)
+	if s.options.Settings.MetricsAddress == "" {
+		h.GET("/metrics", s.metrics)
+	}
+	h.POST("/v1/workspaces/:workspace/requests", s.bounded(s.postRequest))
+	h.POST("/v1/workspaces/:workspace/jobs", s.bounded(s.postJob))
+	h.GET("/v1/jobs/:id", s.bounded(s.getJob))
+	h.DELETE("/v1/jobs/:id", s.bounded(s.deleteJob))
+	h.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		newProblem(request.NotFound, "no such resource").write(c)
+	})
+}
+
+// closeWhileDraining lets callers move to another entry after their answer.
+func (s *Server) closeWhileDraining(ctx context.Context, c *app.RequestContext) {
+	c.Next(ctx)
+	if s.draining.Load() {
+		c.SetConnectionClose()
+	}
+}
+
+func (s *Server) readyz(_ context.Context, c *app.RequestContext) {
+	if !s.ready() {
+		c.String(http.StatusServiceUnavailable, "not ready\n")
+		return
+	}
+	c.String(http.StatusOK, "ok\n")
+}
+
+func (s *Server) metrics(_ context.Context, c *app.RequestContext) {
+	var page bytes.Buffer
+	s.options.Metrics.WritePrometheus(&page)
+	metrics.WriteProcessMetrics(&page)
+	c.Data(http.StatusOK, "text/plain; version=0.0.4", page.Bytes())
+}
+
+// bounded limits the requests in flight.
+func (s *Server) bounded(handler func(context.Context, *app.RequestContext)) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		now := s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		if limit := s.options.Settings.Limits.MaxInFlight; limit > 0 && now > int64(limit) {
+			s.stats.refused("", "entry-full")
+			p := refusalProblem(model.OutcomeNotRun, request.Refusal{
+				Reason: request.Unavailable, Detail: "this entry holds as many requests as it may",
+			})
+			p.write(c)
+			return
+		}
+		handler(ctx, c)
+	}
+}
--- a/internal/core/request/machine.go
+++ b/internal/core/request/machine.go
@@ -129,7 +129,7 @@
 		known := *v.Known
 		known.Known = true
 		return m.reply(known)
-	case v.Refusal.passes():
+	case v.Refusal.Passes():
 		m.last = v.Refusal
 		return m.retry()
 	case v.Refusal.Reason == Conflict:
--- a/internal/core/request/machine_test.go
+++ b/internal/core/request/machine_test.go
@@ -75,7 +75,7 @@
 		w.facts = append(w.facts, fact{outcome: model.OutcomeDone})
 	case "refusal":
 		v.Refusal.Reason = Reason(rapid.IntRange(int(NotOwner), int(NeverFits)).Draw(w.t, "reason"))
-		w.facts = append(w.facts, fact{letThrough: !v.Refusal.passes() && v.Refusal.Reason != Conflict, mayRun: v.Refusal.Reason == Conflict})
+		w.facts = append(w.facts, fact{letThrough: !v.Refusal.Passes() && v.Refusal.Reason != Conflict, mayRun: v.Refusal.Reason == Conflict})
 	}
 	event := func() Action { return w.machine.Admitted(attempt, v) }
 	w.late = append(w.late, event)
@@ -190,3 +190,15 @@
 	m.Start()
 	assert.Equal(t, model.OutcomeUnknown, m.Expired().Result.Outcome)
 }
+
+// TestConflictIsNotCalledNotRun guards callers whose key is in use: the
+// request that holds it may be running, also when the key was let through to
+// this request before.
+func TestConflictIsNotCalledNotRun(t *testing.T) {
+	m := New(Request{ID: requestID, CallerKey: true})
+	action := m.Start()
+	action = m.Admitted(action.Attempt, Verdict{Permit: &model.Permit{}})
+	action = m.Executed(action.Attempt, Attempt{NotSent: true}, nil)
+	action = m.Admitted(action.Attempt, Verdict{Refusal: Refusal{Reason: Conflict}})
+	assert.Equal(t, model.OutcomeUnknown, action.Result.Outcome)
+}
--- a/internal/core/request/refusal.go
+++ b/internal/core/request/refusal.go
@@ -30,9 +30,9 @@
 	RetryAfter time.Duration // zero if unknown
 }
 
-// passes reports whether another look-up or a little time may help, as during
+// Passes reports whether another look-up or a little time may help, as during
 // a takeover.
-func (r Refusal) passes() bool {
+func (r Refusal) Passes() bool {
 	switch r.Reason {
 	case NotOwner, StaleEpoch, Unavailable:
 		return true
