--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,12 @@
 lint: tools ## Run the linter
 	$(GOBIN)/golangci-lint run ./...
 
+demo: build ## Run the demonstration on loopback (under a minute)
+	bin/balsam-demo
+
+bench: build ## Measure quick requests and idle programs on loopback
+	bin/balsam-bench
+
 vet: ## Run go vet
 	$(GO) vet ./...
 
--- a/internal/core/rack/rack.go
+++ b/internal/core/rack/rack.go
@@ -15,7 +15,7 @@
 	free     model.Resources // capacity less reserved
 	reserved model.Resources
 	// excess is how much adopted tasks or a shrunk capacity reserve beyond
-	// the capacity; nothing is placed until it is gone.
+	// the capacity; nothing fits until it is gone.
 	excess  model.Resources
 	entries []*entry
 	hold    *hold
@@ -59,9 +59,11 @@
 	spread    map[jobDomain]int
 	gangs     map[string]*entry // gang reservations that may expire
 	holds     map[model.TaskID]*hold
+	claims    map[model.TeamID]*claim
 	refused   map[model.TaskID]refusal
 	prunedAt  time.Duration // of refused
 	ends      nextEnd
+	scratch   batch
 	health    *health.Fleet
 }
 
@@ -80,6 +82,7 @@
 		sidelined: make(map[model.VMID]*worker),
 		gangs:     make(map[string]*entry),
 		holds:     make(map[model.TaskID]*hold),
+		claims:    make(map[model.TeamID]*claim),
 		refused:   make(map[model.TaskID]refusal),
 		health:    health.NewFleet(policy.Health),
 	}
@@ -168,6 +171,19 @@
 		r.refile(w)
 	}
 	slices.Sort(r.domains)
+	r.recount()
+}
+
+// recount counts the tasks per job and domain, which only a rack of several
+// domains needs.
+func (r *Rack) recount() {
+	clear(r.spread)
+	if len(r.domains) < 2 {
+		return
+	}
+	for _, e := range r.entries {
+		r.spread[jobDomain{e.Job, e.worker.vm.FailureDomain}]++
+	}
 }
 
 // refile brings the index up to date with the worker's state.
@@ -192,7 +208,7 @@
 
 // available reports whether the worker may take work at all.
 func (w *worker) available() bool {
-	return !w.gone && !w.silent && !w.vm.Leaving && w.excess.IsZero()
+	return !w.gone && !w.silent && !w.vm.Leaving
 }
 
 // settle derives free from capacity and reserved.
