Wire balsam-entry

Cause: the HTTP front needs its directory, configuration, VM list and peers in one program.

Ruled out: asking the local balsam-sched for owners (one more hop and one more process that must be up); a second copy of the scheduler's VM cache inside the program (app/vmwatch stands on its own, so that the scheduler can use it too).

Change: app/entrymain wires observer, configuration watcher and entry.Server; the program leaves by finishing every request in flight.

Not yet run against real schedulers.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -133,8 +133,8 @@
 // Address returns the host:port that callers reach.
 func (s *Server) Address() string { return s.options.Listener.Addr().String() }
 
-// ready reports whether the entry takes requests.
-func (s *Server) ready() bool {
+// Ready reports whether the entry takes requests.
+func (s *Server) Ready() bool {
 	return !s.draining.Load() && (s.options.Ready == nil || s.options.Ready())
 }
 
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -326,7 +326,7 @@
 	assert.False(t, closes())
 	stopped := make(chan error, 1)
 	go func() { stopped <- w.entry.Shutdown(context.Background()) }()
-	require.Eventually(t, func() bool { return !w.entry.ready() }, 30*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return !w.entry.Ready() }, 30*time.Second, time.Millisecond)
 	time.Sleep(5 * drainCheck)
 	assert.True(t, closes(), "served, and told to go elsewhere")
 	require.NoError(t, <-stopped)
--- a/internal/app/entry/routes.go
+++ b/internal/app/entry/routes.go
@@ -38,7 +38,7 @@
 }
 
 func (s *Server) readyz(_ context.Context, c *app.RequestContext) {
-	if !s.ready() {
+	if !s.Ready() {
 		c.String(http.StatusServiceUnavailable, "not ready\n")
 		return
 	}
--- /dev/null
+++ b/internal/app/entrymain/main.go
@@ -0,0 +1,146 @@
+// Package entrymain is the program balsam-entry without its command line.
+package entrymain
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/logclient"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/peer"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/settings"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/sysclock"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/vmclient"
+	"github.com/balsamhitch/balsamhitch/internal/app/configwatch"
+	"github.com/balsamhitch/balsamhitch/internal/app/entry"
+	"github.com/balsamhitch/balsamhitch/internal/app/logging"
+	"github.com/balsamhitch/balsamhitch/internal/app/membership"
+	"github.com/balsamhitch/balsamhitch/internal/app/probe"
+	"github.com/balsamhitch/balsamhitch/internal/app/vmwatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+const (
+	// frameMargin is the room in a frame besides a body.
+	frameMargin = 64 * settings.KiB
+	// minFrame lets answers be larger than the requests that callers may send.
+	minFrame      = 4 * settings.MiB
+	probeStopTime = time.Second
+	// listEvery is the time between reads of the VM list, which the entry
+	// needs only while the log is down.
+	listEvery = 2 * time.Second
+)
+
+// Run runs the program until the context ends, then finishes every request in
+// flight and returns.
+func Run(ctx context.Context, options settings.Entry) error {
+	logger, err := logging.New("balsam-entry", options.Log)
+	if err != nil {
+		return err
+	}
+	clock := sysclock.Clock{}
+	client := peer.New(peer.Options{
+		MaxFrame: int(max(options.Limits.MaxBody, minFrame) + frameMargin),
+		Logger:   logger,
+	})
+	defer func() { _ = client.Close() }()
+	log := logclient.New(options.Platform.Log)
+	observer := membership.NewObserver(log, clock, logger)
+	vms := vmwatch.New(vmclient.New(options.Platform.VMList), listEvery, logger)
+	watcher := configwatch.New(configwatch.Options{
+		Log:      log,
+		Clock:    clock,
+		Peer:     client,
+		Members:  members{observer: observer, vms: vms}.addresses,
+		FreshFor: options.Config.FreshFor,
+		Logger:   logger,
+	})
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	failed := make(chan error, 4)
+	go func() { failed <- observer.Run(background) }()
+	go func() { failed <- watcher.Run(background) }()
+	go vms.Run(background)
+
+	server, err := entry.Start(entry.Options{
+		Settings:  options,
+		Directory: observer,
+		Keys:      keys{watcher},
+		Peer:      client,
+		Clock:     clock,
+		Ready:     func() bool { return observer.Ready() && watcher.Fresh() },
+		Metrics:   metrics.GetDefaultSet(),
+		Logger:    logger,
+	})
+	if err != nil {
+		return err
+	}
+	return serve(ctx, server, options, failed, logger)
+}
+
+// serve waits for the end of the context or of a part, then shuts down.
+func serve(ctx context.Context, server *entry.Server, options settings.Entry, failed chan error, logger *logrus.Entry) error {
+	stopProbes := func() error { return nil }
+	if options.MetricsAddress != "" {
+		probes := probe.New(options.MetricsAddress, server.Ready)
+		go func() { failed <- probes.Run() }()
+		stopProbes = func() error {
+			stopping, cancel := context.WithTimeout(context.Background(), probeStopTime)
+			defer cancel()
+			return probes.Shutdown(stopping)
+		}
+	}
+	logger.WithField("address", server.Address()).Info("Started.")
+	var err error
+	select {
+	case err = <-failed:
+		logger.WithError(err).Error("A part of the program failed.")
+	case <-ctx.Done():
+		logger.Info("Leaving.")
+	}
+	stopping, cancel := context.WithTimeout(context.Background(), options.Timeouts.Drain)
+	defer cancel()
+	err = errs.Combine(err, server.Shutdown(stopping), stopProbes())
+	logger.Info("Stopped.")
+	return err
+}
+
+var _ entry.Keys = keys{}
+
+// keys is the configuration as the entry needs it.
+type keys struct {
+	watcher *configwatch.Watcher
+}
+
+func (k keys) Fresh() bool { return k.watcher.Fresh() }
+
+func (k keys) TeamOfKey(presented string) (model.TeamID, bool) {
+	return k.watcher.Snapshot().TeamOfKey(presented)
+}
+
+func (k keys) Template(team model.TeamID) (model.WorkspaceTemplate, bool) {
+	return k.watcher.Snapshot().Template(team)
+}
+
+// members tells the configuration watcher whom it may ask.
+type members struct {
+	observer *membership.Observer
+	vms      *vmwatch.Cache
+}
+
+// addresses returns the peer addresses of all members whose VM is not known to
+// be gone.
+func (m members) addresses() (addresses []string, known bool) {
+	if !m.observer.Ready() {
+		return nil, false
+	}
+	for _, info := range m.observer.Members() {
+		if !m.vms.Gone(info.Address) {
+			addresses = append(addresses, info.Address)
+		}
+	}
+	return addresses, true
+}
