Count what put each promise to the test, and extend the demonstration

"kept" said nothing for promises that a run never touched: the first trial of the demonstration called the configuration and the leaving targets kept without one event that could have broken them. Judge now counts, per promise, the events that could have broken it, and the report says "not tested" where there are none. The demonstration observes the members' revisions, marks a worker and a runner as leaving, and shuts one entry VM down gracefully.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -20,6 +20,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/history"
 	"github.com/balsamhitch/balsamhitch/internal/proctest"
 	"github.com/balsamhitch/balsamhitch/internal/standin/cell"
+	"github.com/balsamhitch/balsamhitch/internal/standin/vmlist"
 )
 
 // Error is the class of errors of this package.
@@ -32,14 +33,15 @@
 var revisedTemplates []byte
 
 const (
-	entryVMs    = 3
-	quotesRate  = 100 // a second
-	soukRate    = 20  // a second
-	batchTasks  = 60
-	gangs       = 4
-	drainedIn   = 20 * time.Second
-	balancerLag = 500 * time.Millisecond
-	outDomain   = "marrakech"
+	entryVMs     = 3
+	quotesRate   = 100 // a second
+	soukRate     = 20  // a second
+	batchTasks   = 60
+	gangs        = 4
+	drainedIn    = 20 * time.Second
+	observeEvery = time.Second
+	balancerLag  = 500 * time.Millisecond
+	outDomain    = "marrakech"
 )
 
 // Options sets up a run.
@@ -90,6 +92,17 @@
 	_, _ = fmt.Fprintf(r.options.Out, "%6.1fs  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// timed runs an operator's command, which returns once it is in force on every
+// member.
+func (r *run) timed(what string, command func() error) error {
+	started := time.Now()
+	if err := command(); err != nil {
+		return err
+	}
+	r.say("%s; in force after %d ms", what, time.Since(started).Milliseconds())
+	return nil
+}
+
 func (r *run) start(dir string) error {
 	r.say("starting the platform's stand-ins and %d entry VMs", entryVMs)
 	cluster, err := proctest.StartCluster(proctest.ClusterOptions{
@@ -124,8 +137,9 @@
 	defer stopJobs()
 	r.load.quotes(loadContext, r.keys["stitch-quotes"], quotesRate)
 	r.load.quotes(loadContext, r.keys["souk-quotes"], soukRate)
+	r.load.wg.Go(func() { r.observe(loadContext) })
 	for _, step := range []func(context.Context) error{
-		r.submit, r.revise, r.withdraw, r.domainOut, r.submit, r.domainIn, r.killVM, r.submit,
+		r.submit, r.revise, r.withdraw, r.leave, r.domainOut, r.submit, r.domainIn, r.killVM, r.submit, r.shutDownVM,
 	} {
 		if err := step(jobContext); err != nil {
 			return err
@@ -142,6 +156,17 @@
 	return r.report()
 }
 
+// observe records the members' configuration revisions until the context ends.
+func (r *run) observe(ctx context.Context) {
+	for ctx.Err() == nil {
+		_ = r.operator.Observe() // a member may be down
+		select {
+		case <-ctx.Done():
+		case <-time.After(observeEvery):
+		}
+	}
+}
+
 // drain waits for all answers and ends of jobs, for a bounded time.
 func (r *run) drain(stopJobs func()) {
 	done := make(chan struct{})
@@ -184,23 +209,51 @@
 }
 
 func (r *run) revise(context.Context) error {
-	r.say("halving the upper limit of hide-layouts")
-	return r.operator.Apply("guild-revised.toml", revisedTemplates)
+	return r.timed("halving the upper limit of hide-layouts", func() error {
+		return r.operator.Apply("guild-revised.toml", revisedTemplates)
+	})
 }
 
 func (r *run) withdraw(context.Context) error {
-	r.say("withdrawing the key of souk-quotes, whose callers go on sending")
-	return r.operator.WithdrawKey(r.keys["souk-quotes"])
+	return r.timed("withdrawing the key of souk-quotes, whose callers go on sending", func() error {
+		return r.operator.WithdrawKey(r.keys["souk-quotes"])
+	})
 }
 
 func (r *run) domainOut(context.Context) error {
-	r.say("taking %s out of service", outDomain)
-	return r.operator.TakeDomainOut(outDomain)
+	return r.timed("taking "+outDomain+" out of service", func() error { return r.operator.TakeDomainOut(outDomain) })
 }
 
 func (r *run) domainIn(context.Context) error {
-	r.say("taking %s back into service", outDomain)
-	return r.operator.ReturnDomain(outDomain)
+	return r.timed("taking "+outDomain+" back into service", func() error { return r.operator.ReturnDomain(outDomain) })
+}
+
+// leave marks one worker and one runner as leaving.
+func (r *run) leave(context.Context) error {
+	for _, id := range []model.VMID{"worker-1", "quotes-runner-1"} {
+		r.say("marking %s as leaving", id)
+		if err := r.cluster.Platform.SetVM(vmlist.SetState{ID: id, State: vmlist.Leaving}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// shutDownVM ends one entry VM's programs gracefully and replaces the VM.
+func (r *run) shutDownVM(context.Context) error {
+	vm := r.cluster.VMs()[1]
+	r.say("shutting the programs of %s down with SIGTERM", vm.ID)
+	vm.Entry.Terminate()
+	time.Sleep(balancerLag)
+	r.fleet.Remove(vm.URL())
+	if err := vm.Entry.ExitError(); err != nil {
+		return Error.New("%s: balsam-entry: %w", vm.ID, err)
+	}
+	vm.Sched.Terminate()
+	if err := vm.Sched.ExitError(); err != nil {
+		return Error.New("%s: balsam-sched: %w", vm.ID, err)
+	}
+	return r.replace(vm)
 }
 
 // killVM kills one entry VM's programs and replaces the VM.
@@ -210,6 +263,10 @@
 	vm.Kill()
 	time.Sleep(balancerLag)
 	r.fleet.Remove(vm.URL())
+	return r.replace(vm)
+}
+
+func (r *run) replace(vm *proctest.EntryVM) error {
 	replacement, err := r.cluster.Replace(vm)
 	if err != nil {
 		return err
@@ -233,7 +290,9 @@
 		return Error.Wrap(err)
 	}
 	_, _ = fmt.Fprintln(r.options.Out)
-	if broken := WritePromises(r.options.Out, history.Check(events, history.Options{})); broken > 0 {
+	writeReasons(r.options.Out, events)
+	_, _ = fmt.Fprintln(r.options.Out)
+	if broken := WritePromises(r.options.Out, history.Judge(events, history.Options{})); broken > 0 {
 		return Error.New("%d promises broke", broken)
 	}
 	r.say("every promise was kept")
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	quoteDeadline = 2 * time.Second
+	// quoteDeadline is longer than the takeover of a partition.
+	quoteDeadline = 4 * time.Second
 	quoteMS       = 4 // run time of a quote in milliseconds
 	replyBytes    = 512
 	// nonIdempotentEvery makes every n-th quote non-idempotent.
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"text/tabwriter"
 	"time"
@@ -17,6 +19,7 @@
 	maxWait          = 10 * time.Minute
 	waitDigits       = 3 // significant figures of waiting times
 	shownEvents      = 12
+	shownReasons     = 8
 	shownPerPromise  = 3
 	microsPerMilli   = 1000
 	percentileMedian = 50
@@ -84,6 +87,21 @@
 	return table.Flush()
 }
 
+// writeReasons prints why calls were not answered with success, most frequent
+// first.
+func writeReasons(w io.Writer, events []history.Event) {
+	counts := make(map[string]int)
+	for _, e := range events {
+		if e.Kind == history.Answered && e.Outcome != "" && e.Outcome != model.OutcomeDone {
+			counts[fmt.Sprintf("%s: %s: %s", e.Team, e.Outcome, e.Detail)]++
+		}
+	}
+	reasons := slices.SortedFunc(maps.Keys(counts), func(a, b string) int { return counts[b] - counts[a] })
+	for _, reason := range reasons[:min(len(reasons), shownReasons)] {
+		_, _ = fmt.Fprintf(w, "%6d  %s\n", counts[reason], reason)
+	}
+}
+
 func percentiles(h *hdrhistogram.Histogram) (median, tail string) {
 	if h == nil {
 		return "-", "-"
@@ -96,22 +114,30 @@
 
 // WritePromises prints what became of each promise and returns how many
 // broke.
-func WritePromises(w io.Writer, found []history.Violation) int {
+func WritePromises(w io.Writer, report history.Report) int {
 	byPromise := make(map[history.Promise][]history.Violation)
-	for _, v := range found {
+	for _, v := range report.Violations {
 		byPromise[v.Promise] = append(byPromise[v.Promise], v)
 	}
 	for _, promise := range history.Promises() {
 		broken := byPromise[promise]
-		if len(broken) == 0 {
-			_, _ = fmt.Fprintf(w, "kept    %s\n", promise)
-			continue
-		}
-		_, _ = fmt.Fprintf(w, "BROKEN  %s (%d times)\n", promise, len(broken))
-		for _, v := range broken[:min(len(broken), shownPerPromise)] {
-			v.Events = v.Events[:min(len(v.Events), shownEvents)]
-			_, _ = fmt.Fprintf(w, "        %s\n", v)
+		tested := report.Tested[promise]
+		switch {
+		case len(broken) > 0:
+			_, _ = fmt.Fprintf(w, "BROKEN      %s (%d times in %d)\n", promise, len(broken), tested)
+			writeViolations(w, broken)
+		case tested == 0:
+			_, _ = fmt.Fprintf(w, "not tested  %s\n", promise)
+		default:
+			_, _ = fmt.Fprintf(w, "kept        %s (%d times)\n", promise, tested)
 		}
 	}
 	return len(byPromise)
 }
+
+func writeViolations(w io.Writer, broken []history.Violation) {
+	for _, v := range broken[:min(len(broken), shownPerPromise)] {
+		v.Events = v.Events[:min(len(v.Events), shownEvents)]
+		_, _ = fmt.Fprintf(w, "            %s\n", v)
+	}
+}
--- a/internal/history/calls.go
+++ b/internal/history/calls.go
@@ -60,6 +60,7 @@
 
 func (c *checker) checkAnswers(call *callState) {
 	answers := make(map[int][]Event)
+	c.tested[WholeAnswer] += len(call.sent)
 	for _, a := range call.answered {
 		answers[a.Send] = append(answers[a.Send], a)
 	}
@@ -97,6 +98,7 @@
 		if a.Outcome != model.OutcomeNotRun {
 			continue
 		}
+		c.tested[NotRunIsTrue]++
 		for _, run := range call.runs {
 			if next, ok := nextSent(call, a); ok && !run.At.Before(next.At) {
 				continue
@@ -120,6 +122,7 @@
 	if !call.sent[0].NonIdempotent {
 		return
 	}
+	c.tested[AtMostOnce]++
 	runs := make(map[string][]Event)
 	for _, run := range call.runs {
 		id := workID(run)
@@ -141,6 +144,7 @@
 		if reason == "" {
 			continue
 		}
+		c.tested[KeysOnly]++
 		for _, a := range call.answered {
 			taken := a.Outcome == model.OutcomeDone || a.Outcome == model.OutcomeUnknown
 			if a.Send == s.Send && taken {
@@ -172,6 +176,7 @@
 	if len(call.accepted) == 0 {
 		return
 	}
+	c.tested[NothingLost]++
 	if len(call.ended) == 0 {
 		if !c.options.Unfinished {
 			c.report(NothingLost, "an accepted job came to no end", call.accepted...)
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -224,11 +224,11 @@
 	if err != nil {
 		return err
 	}
-	vm.Sched, err = c.Group.Start(string(vm.ID)+"-sched", filepath.Join(c.options.Binaries, "balsam-sched"), "--settings", sched)
+	vm.Sched, err = c.Group.Start(string(vm.ID)+"-sched", filepath.Join(c.options.Binaries, "balsam-sched"), "--config", sched)
 	if err != nil {
 		return err
 	}
-	vm.Entry, err = c.Group.Start(string(vm.ID)+"-entry", filepath.Join(c.options.Binaries, "balsam-entry"), "--settings", entry)
+	vm.Entry, err = c.Group.Start(string(vm.ID)+"-entry", filepath.Join(c.options.Binaries, "balsam-entry"), "--config", entry)
 	return err
 }
 
