Void claims of a former incarnation and honour refusals over the VM list

Cause: reviewing the argument found two holes. A claim under way when its sender is removed could land after the sender has joined again, while the holder had dropped the sender from its view and resumed on promises of the rest. And a member that answers with a refusal was excepted when a lagging VM list no longer named its address. Ruled out: forbidding to resume after any removal, which would stop owners for the rest of an outage. Change: claims name the offset of their sender's Join; only members that do not answer are excepted through the VM list, and only if the list has named them since they joined; a list that has never named a lapsed member counts after a minute. Seen failing with the guard removed (22 guards taken out one at a time): every one is caught, among them claim epoch, renewal and incarnation by TestFoldEqualsNaiveFold, lease and waiting time, acting after a release, blocking promises and the view rule by the state-machine test, the rest by the unit test of the rule.

--- a/internal/app/membership/control.go
+++ b/internal/app/membership/control.go
@@ -59,10 +59,10 @@
 
 func (t *turn) pass(ctx context.Context) time.Duration {
 	t.state = t.Member.state()
-	t.noteVMs()
 	if t.state == nil || t.left {
 		return controlEvery
 	}
+	t.noteVMs()
 	self, joined := t.state.Member(t.opt.ID)
 	if !joined {
 		t.join()
@@ -149,7 +149,7 @@
 // claim takes what the plan gives to this member and nobody holds any more.
 func (t *turn) claim() {
 	t.promises.Prune(t.state, t.now)
-	claim := &logpb.Claim{Member: string(t.opt.ID)}
+	claim := &logpb.Claim{Member: string(t.opt.ID), Joined: t.self.Joined}
 	for p, to := range t.plan {
 		if to == t.opt.ID && t.claimable(p) {
 			t.claimed[p] = t.now
@@ -226,7 +226,11 @@
 func (t *turn) emitClaim(claim *logpb.Claim) {
 	partitions := claim.GetPartitions()
 	for len(partitions) > claimChunk {
-		t.emitChunk(&logpb.Claim{Member: claim.GetMember(), Partitions: partitions[:claimChunk]})
+		t.emitChunk(&logpb.Claim{
+			Member:     claim.GetMember(),
+			Joined:     claim.GetJoined(),
+			Partitions: partitions[:claimChunk],
+		})
 		partitions = partitions[claimChunk:]
 	}
 	claim.Partitions = partitions
--- a/internal/app/membership/machine_test.go
+++ b/internal/app/membership/machine_test.go
@@ -32,7 +32,7 @@
 var actionKinds = []string{
 	"kill", "freeze", "freeze", "exit", "start", "replace",
 	"log down", "log down", "appends down", "slow appends", "slow reads", "late appends", "lost answers",
-	"all down", "all down", "all but one down", "cut", "truncate",
+	"all down", "all down", "all but one down", "cut", "truncate", "vm gone",
 }
 
 func drawActions(t *rapid.T) []action {
@@ -51,13 +51,19 @@
 // machine applies actions to a cluster.
 type machine struct {
 	*cluster
+	replaced [machineAddresses]int // VMs that had the place before, guarded by mu
 }
 
-func addressOf(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
+// address returns that of the VM which has the place now. None is used twice.
+func (m *machine) address(place int) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return fmt.Sprintf("10.0.%d.%d:7000", m.replaced[place], place+1)
+}
 
 func (m *machine) at(i int) *node {
 	for _, n := range m.nodes {
-		if n.address == addressOf(i) {
+		if n.address == m.address(i) {
 			return n
 		}
 	}
@@ -75,14 +81,14 @@
 	switch a.kind {
 	case "start":
 		if n == nil {
-			m.start(addressOf(a.node))
+			m.start(m.address(a.node))
 		}
 		return
 	case "replace":
 		if n != nil {
 			m.kill(n)
 		}
-		m.start(addressOf(a.node))
+		m.start(m.address(a.node))
 		return
 	case "all down":
 		for _, each := range m.nodes {
@@ -97,8 +103,17 @@
 		}
 		return
 	case "cut":
-		m.peers.SetCut(addressOf(a.node), addressOf(a.other), true)
-		time.AfterFunc(a.lasts, func() { m.peers.SetCut(addressOf(a.node), addressOf(a.other), false) })
+		m.peers.SetCut(m.address(a.node), m.address(a.other), true)
+		time.AfterFunc(a.lasts, func() { m.peers.SetCut(m.address(a.node), m.address(a.other), false) })
+		return
+	case "vm gone":
+		if n != nil {
+			m.kill(n)
+		}
+		m.mu.Lock()
+		m.replaced[a.node]++
+		m.mu.Unlock()
+		time.AfterFunc(a.lasts, func() { m.setVMs(m.addresses()...) }) // the list lags
 		return
 	case "truncate":
 		if next := m.log.Next(ownership.Stream); next > keptRecords {
@@ -150,9 +165,9 @@
 		}
 		defer m.stop()
 		for i := range machineStarted {
-			m.start(addressOf(i))
+			m.start(m.address(i))
 		}
-		m.listAll()
+		m.setVMs(m.addresses()...)
 		m.run(3 * time.Second)
 		for _, a := range actions {
 			m.do(a)
@@ -170,9 +185,10 @@
 // supervisor does and then expects every partition served.
 func (m *machine) heal() {
 	m.run(10 * time.Second)
+	m.setVMs(m.addresses()...)
 	for i := range machineAddresses {
 		if m.at(i) == nil {
-			m.start(addressOf(i))
+			m.start(m.address(i))
 		}
 	}
 	for end := time.Now().Add(healTime); time.Now().Before(end) && m.served() != nil; {
@@ -182,13 +198,13 @@
 	m.run(time.Second)
 }
 
-// listAll makes the VM list name every VM; all outlive their processes here.
-func (m *machine) listAll() {
+// addresses returns those of all VMs; they outlive their processes.
+func (m *machine) addresses() []string {
 	var all []string
 	for i := range machineAddresses {
-		all = append(all, addressOf(i))
+		all = append(all, m.address(i))
 	}
-	m.setVMs(all...)
+	return all
 }
 
 func TestAtMostOneOwnerActsAndNoPartitionIsLost(t *testing.T) {
--- a/internal/app/membership/member.go
+++ b/internal/app/membership/member.go
@@ -38,10 +38,9 @@
 	removed   map[model.MemberID]time.Duration    // when a removal was last sent
 	unwanted  map[model.PartitionID]time.Duration // since when nobody wants it
 	gone      map[model.MemberID]bool             // another process answers at the address
-	seen      map[string]bool                     // hosts that the VM list has named
-	started   time.Duration
-	changed   time.Duration // when the set of members last changed
-	stale     bool          // changed is to be set at the end of the read
+	seen      map[model.MemberID]bool             // the VM list has named the VM
+	changed   time.Duration                       // when the set of members last changed
+	stale     bool                                // changed is to be set at the end of the read
 	joinSent  time.Duration
 	ckptSent  time.Duration
 	ckptNext  uint64 // Next of the last checkpoint sent
@@ -81,7 +80,7 @@
 		removed:  make(map[model.MemberID]time.Duration),
 		unwanted: make(map[model.PartitionID]time.Duration),
 		gone:     make(map[model.MemberID]bool),
-		seen:     make(map[string]bool),
+		seen:     make(map[model.MemberID]bool),
 	}
 	t := timing{opt.Lease, opt.RenewEvery, opt.DriftMargin}
 	m.follower = newFollower(opt.Log, opt.Clock, opt.Logger, t, m)
@@ -97,11 +96,7 @@
 		return err
 	}
 	defer tasks.Release()
-	now := m.clock.Now()
-	m.mu.Lock()
 	m.tasks = tasks
-	m.started = now
-	m.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return m.follow(ctx) })
 	group.Go(func() error { return m.renewLoop(ctx) })
--- a/internal/app/membership/member_test.go
+++ b/internal/app/membership/member_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/ownership"
+	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
 )
 
 const takeoverLimit = 2600 * time.Millisecond
@@ -73,6 +74,25 @@
 	})
 }
 
+func TestReleaseThatDidNotReachTheLogIsSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		defer c.stop()
+		c.startMany(2)
+		c.run(5 * time.Second)
+		leaver := c.nodes[0]
+		time.AfterFunc(9*time.Millisecond, func() { // while it drains
+			leaver.log.SetFaults(porttest.Faults{AppendsDown: true})
+			time.AfterFunc(300*time.Millisecond, func() { leaver.log.SetFaults(healthy) })
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		require.NoError(t, leaver.HandoverAll(ctx))
+		c.kill(leaver)
+		c.fail(c.served())
+	})
+}
+
 func TestUnwantedPartitionIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 4)
--- a/internal/app/membership/outage.go
+++ b/internal/app/membership/outage.go
@@ -83,7 +83,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, other := range view {
-		if round.Answers[other.ID] != ownership.Granted && m.missing(vms, other.Address) {
+		if round.Answers[other.ID] == ownership.Unanswered && m.missing(vms, other) {
 			round.Answers[other.ID] = ownership.Gone
 		}
 	}
@@ -156,7 +156,7 @@
 	reply := response.GetPromise()
 	switch {
 	case err != nil || reply.GetMember() == "":
-		return ownership.Refused
+		return ownership.Unanswered
 	case reply.GetMember() != string(other.ID):
 		return ownership.Gone
 	case reply.GetGranted():
@@ -247,25 +247,30 @@
 	return doubtful
 }
 
-// noteVMs remembers which hosts the VM list has named and forgets about
-// removed members.
+// noteVMs remembers which members the VM list has named and forgets about
+// removed ones.
 func (t *turn) noteVMs() {
+	listed := make(map[string]bool)
 	for _, vm := range t.vms {
 		if vm.Role == model.RoleEntry {
-			t.seen[host(vm.Address)] = true
+			listed[host(vm.Address)] = true
 		}
 	}
-	if t.state == nil {
-		return
-	}
-	for id := range t.gone {
-		if _, ok := t.state.Member(id); !ok {
-			delete(t.gone, id)
+	for _, other := range t.state.Members() {
+		if listed[host(other.Address)] {
+			t.seen[other.ID] = true
 		}
 	}
-	for id := range t.removed {
-		if _, ok := t.state.Member(id); !ok {
-			delete(t.removed, id)
+	forgetRemoved(t.state, t.seen)
+	forgetRemoved(t.state, t.gone)
+	forgetRemoved(t.state, t.removed)
+}
+
+// forgetRemoved deletes what is noted of those that are members no more.
+func forgetRemoved[V any](state *ownership.State, notes map[model.MemberID]V) {
+	for id := range notes {
+		if _, ok := state.Member(id); !ok {
+			delete(notes, id)
 		}
 	}
 }
@@ -274,17 +279,17 @@
 // VM that this process never saw listed counts as ended after a grace period,
 // for the list lags behind new VMs.
 func (t *turn) unlisted(other ownership.Member) bool {
-	if t.missing(t.vms, other.Address) {
+	if t.missing(t.vms, other) {
 		return true
 	}
 	old := t.now >= t.watch.LapsesAt(other.ID, t.now)+goneGrace
 	return old && absent(t.vms, other.Address)
 }
 
-// missing reports whether the VM list has named the VM of the address before
-// and does no longer.
-func (m *Member) missing(vms []model.VM, address string) bool {
-	return m.seen[host(address)] && absent(vms, address)
+// missing reports whether the VM list has named the member's VM before and
+// does no longer.
+func (m *Member) missing(vms []model.VM, other ownership.Member) bool {
+	return m.seen[other.ID] && absent(vms, other.Address)
 }
 
 // absent reports whether a list that names entry VMs does not name the one of
--- a/internal/core/ownership/apply.go
+++ b/internal/core/ownership/apply.go
@@ -40,7 +40,7 @@
 
 func (s *State) applyClaim(offset uint64, claim *logpb.Claim, change *Change) {
 	claimer := model.MemberID(claim.GetMember())
-	if s.members[claimer] == nil {
+	if m := s.members[claimer]; m == nil || m.Joined != claim.GetJoined() {
 		return
 	}
 	for _, c := range claim.GetPartitions() {
--- a/internal/core/ownership/promise.go
+++ b/internal/core/ownership/promise.go
@@ -152,7 +152,8 @@
 
 // The answers to a request for a promise.
 const (
-	Refused Answer = iota // or no answer
+	Unanswered Answer = iota
+	Refused
 	Granted
 	Gone // the asked process has certainly ended
 )
@@ -183,7 +184,7 @@
 		generation: x.generation,
 	}
 	for _, m := range view {
-		round.Answers[m.ID] = Refused
+		round.Answers[m.ID] = Unanswered
 	}
 	return round
 }
--- a/internal/core/ownership/promise_test.go
+++ b/internal/core/ownership/promise_test.go
@@ -21,16 +21,27 @@
 	s := NewState(0)
 	s.Apply(0, Record("", &logpb.Join{Member: "a"}))
 	s.Apply(1, Record("", &logpb.Join{Member: "b"}))
-	s.Apply(2, Record("", claimOf("a", "", 0, 0)))
+	s.Apply(2, Record("", claimOf("a", "", 0)))
 	return s
 }
 
-func claimOf(claimer, holder string, epoch, renewal uint64) *logpb.Claim {
-	return &logpb.Claim{Member: claimer, Partitions: []*logpb.PartitionClaim{
-		{Partition: string(rack), Epoch: epoch, Holder: holder, HolderRenewal: renewal},
+func claimOf(claimer, holder string, epoch uint64) *logpb.Claim {
+	joined := map[string]uint64{"a": 0, "b": 1}[claimer]
+	return &logpb.Claim{Member: claimer, Joined: joined, Partitions: []*logpb.PartitionClaim{
+		{Partition: string(rack), Epoch: epoch, Holder: holder, HolderRenewal: 0},
 	}}
 }
 
+func TestClaimOfRemovedMemberIsVoidAfterItJoinsAgain(t *testing.T) {
+	s := heldByA()
+	late := claimOf("b", "a", 2)
+	s.Apply(3, Record("", &logpb.Claim{Member: "a", Lapsed: []*logpb.LapsedMember{{Member: "b", Renewal: 1}}}))
+	s.Apply(4, Record("", &logpb.Join{Member: "b"}))
+	s.Apply(5, Record("", late))
+	assert.Equal(t, model.MemberID("a"), s.Holding(rack).Owner,
+		"a no longer asked b for promises when the claim landed")
+}
+
 func TestLateRenewalCountsFromWhenItWasSent(t *testing.T) {
 	l := NewLease(lease)
 	l.Sent("old", time.Second)
@@ -45,7 +56,7 @@
 func TestClaimOfUnknownOutcomeForbidsPromises(t *testing.T) {
 	s := heldByA()
 	p := NewPromises()
-	p.ClaimSent("c", claimOf("b", "a", 2, 0))
+	p.ClaimSent("c", claimOf("b", "a", 2))
 	assert.NotEmpty(t, p.Consider(s, "a", Held{rack: 2}, 0))
 	assert.Empty(t, p.Consider(s, "a", Held{"rack/2": 9}, 0), "other partitions are free")
 	s.Apply(3, Record("", &logpb.Renewal{Member: "a", ReadNext: 3}))
@@ -60,7 +71,7 @@
 
 func TestNoPromiseAgainstWhatTheLogSays(t *testing.T) {
 	s := heldByA()
-	s.Apply(3, Record("", claimOf("b", "a", 2, 0)))
+	s.Apply(3, Record("", claimOf("b", "a", 2)))
 	p := NewPromises()
 	assert.NotEmpty(t, p.Consider(s, "a", Held{rack: 2}, 0), "b has taken the rack")
 	assert.Empty(t, p.Consider(s, "a", Held{rack: 9}, 0), "a has read further")
--- a/internal/core/ownership/state_test.go
+++ b/internal/core/ownership/state_test.go
@@ -35,7 +35,7 @@
 }
 
 func (n naiveFold) afterClaim(claim *logpb.Claim, offset int, p model.PartitionID, h Holding) Holding {
-	if _, ok := n.renewal(claim.GetMember()); !ok {
+	if !n.mayClaim(claim) {
 		return h
 	}
 	for _, c := range claim.GetPartitions() {
@@ -73,19 +73,29 @@
 	return h
 }
 
+func (n naiveFold) mayClaim(claim *logpb.Claim) bool {
+	joined, _, ok := n.member(claim.GetMember())
+	return ok && joined == claim.GetJoined()
+}
+
 // renewal returns the last renewal of a member, if it is one.
 func (n naiveFold) renewal(member string) (last uint64, ok bool) {
+	_, last, ok = n.member(member)
+	return last, ok
+}
+
+func (n naiveFold) member(member string) (joined, last uint64, ok bool) {
 	for offset, record := range n.records {
 		switch {
 		case record.GetJoin() != nil && record.GetJoin().GetMember() == member && !ok:
-			last, ok = uint64(offset), member != ""
+			joined, last, ok = uint64(offset), uint64(offset), member != ""
 		case record.GetRenewal() != nil && record.GetRenewal().GetMember() == member && ok:
 			last = uint64(offset)
 		case record.GetLeave() != nil && record.GetLeave().GetMember() == member:
 			ok = false
 		case record.GetClaim() != nil:
-			claimer := record.GetClaim().GetMember()
-			if _, live := (naiveFold{n.records[:offset]}).renewal(claimer); !live || claimer == member {
+			claim := record.GetClaim()
+			if !(naiveFold{n.records[:offset]}).mayClaim(claim) || claim.GetMember() == member {
 				continue
 			}
 			for _, l := range record.GetClaim().GetLapsed() {
@@ -93,7 +103,7 @@
 			}
 		}
 	}
-	return last, ok
+	return joined, last, ok
 }
 
 var (
@@ -108,6 +118,9 @@
 	other := rapid.SampledFrom(someMembers).Draw(t, "other")
 	p := rapid.SampledFrom(somePartitions).Draw(t, "partition")
 	off := uint64(max(0, rapid.IntRange(-4, 1).Draw(t, "off")))
+	offEpoch := uint64(max(0, rapid.IntRange(-4, 1).Draw(t, "off epoch")))
+	offJoined := uint64(max(0, rapid.IntRange(-9, 1).Draw(t, "off joined")))
+	claimer, _ := s.Member(model.MemberID(member))
 	h := s.Holding(model.PartitionID(p))
 	holder, _ := s.Member(h.Owner)
 	lapsed, _ := s.Member(model.MemberID(other))
@@ -117,8 +130,9 @@
 	case 2, 3:
 		return Record("", &logpb.Renewal{Member: member, ReadNext: s.Next()})
 	case 4, 5, 6:
-		claim := &logpb.Claim{Member: member, Partitions: []*logpb.PartitionClaim{{
-			Partition: p, Epoch: uint64(h.Epoch), Holder: string(h.Owner), HolderRenewal: holder.Renewed + off,
+		joined := claimer.Joined + offJoined
+		claim := &logpb.Claim{Member: member, Joined: joined, Partitions: []*logpb.PartitionClaim{{
+			Partition: p, Epoch: uint64(h.Epoch) + offEpoch, Holder: string(h.Owner), HolderRenewal: holder.Renewed + off,
 		}}}
 		if rapid.Bool().Draw(t, "removes") {
 			claim.Lapsed = []*logpb.LapsedMember{{Member: other, Renewal: lapsed.Renewed + off}}
