Refine a batch's packing by bounded local search

Change: reservations of the batch move or are exchanged within a team, at most 256 fit checks per offer; refusals are noted after the search, so a hold no longer blocks the rest of its own batch.

--- a/internal/core/rack/gang.go
+++ b/internal/core/rack/gang.go
@@ -93,6 +93,7 @@
 		e := r.entries[id]
 		delete(r.gangs, id)
 		r.dropHold(r.holds[e.Task])
+		delete(r.refused, e.Task)
 		if e.State == StateGang {
 			e.State = StateReserved
 		}
--- a/internal/core/rack/ledger.go
+++ b/internal/core/rack/ledger.go
@@ -21,7 +21,6 @@
 		e.ExpectedEnd = now + o.ExpectedRun
 	}
 	r.book(e)
-	delete(r.refused, o.Task)
 	return e
 }
 
--- a/internal/core/rack/place.go
+++ b/internal/core/rack/place.go
@@ -21,6 +21,7 @@
 	teams  []*teamTurn       // heap
 	misses []model.Resources // sizes that no indexed worker has room for
 	loans  []loan
+	fresh  []fresh
 	shares []float64   // dominant share per offer
 	turns  []*teamTurn // of which used are in use
 	used   int
@@ -64,14 +65,16 @@
 			r.lend(b, &b.ghosts[i], now)
 			step = b.ghosts[i].RatioStep
 		} else {
-			decisions[i] = r.decide(b, &offers[i], now)
+			decisions[i] = r.decide(b, i, now)
 			if decisions[i].Reserved {
 				step = offers[i].RatioStep
 			}
 		}
 		b.advance(turn, step)
 	}
+	r.refine(b, decisions, now)
 	r.returnLoans(b)
+	r.noteOutcomes(decisions, now)
 	r.noteClaims(b, decisions, now)
 	return decisions
 }
@@ -108,6 +111,7 @@
 	b.teams = b.teams[:0]
 	b.misses = b.misses[:0]
 	b.loans = b.loans[:0]
+	b.fresh = b.fresh[:0]
 	b.shares = b.shares[:0]
 	if b.byTeam == nil {
 		b.byTeam = make(map[model.TeamID]*teamTurn)
@@ -180,26 +184,45 @@
 	heap.Fix(b, 0)
 }
 
+// noteOutcomes remembers who was refused for lack of room and suggests when to
+// offer again.
+func (r *Rack) noteOutcomes(decisions []Decision, now time.Duration) {
+	for i := range decisions {
+		d := &decisions[i]
+		switch {
+		case d.Reserved:
+			delete(r.refused, d.Offer.Task)
+		case d.Reason == ReasonNoCapacity:
+			d.Retry = r.noteRefused(&d.Offer, false, now)
+		default:
+			d.Retry = r.policy.RetryMax
+		}
+	}
+}
+
 // decide places one offer or refuses it.
-func (r *Rack) decide(b *batch, o *Offer, now time.Duration) Decision {
+func (r *Rack) decide(b *batch, i int, now time.Duration) Decision {
+	o := &b.offers[i]
 	if held := r.entries[o.Permit.ID]; held != nil {
 		return Decision{Offer: *o, VM: held.VM, Reserved: true}
 	}
 	if reason := r.reject(o); reason != ReasonNone {
-		return Decision{Offer: *o, Reason: reason, Retry: r.policy.RetryMax}
+		return Decision{Offer: *o, Reason: reason}
 	}
-	w := r.probe(o, now)
-	probe := w != nil
-	if !probe {
-		w = r.choose(b, o, now)
+	if w := r.probe(o, now); w != nil {
+		r.reserve(w, *o, StateReserved, now).Probe = true
+		return Decision{Offer: *o, VM: w.vm.ID, Reserved: true}
 	}
+	w := r.choose(b, o, now)
 	if w == nil {
-		reason := r.shortage(o)
-		return Decision{Offer: *o, Reason: reason, Retry: r.noteRefused(o, false, now)}
+		return Decision{Offer: *o, Reason: r.shortage(o)}
+	}
+	if h := r.holds[o.Task]; h != nil || w.hold != nil {
+		r.dropHold(h)
+		r.reserve(w, *o, StateReserved, now)
+	} else {
+		b.fresh = append(b.fresh, fresh{r.reserve(w, *o, StateReserved, now), i})
 	}
-	r.dropHold(r.holds[o.Task])
-	e := r.reserve(w, *o, StateReserved, now)
-	e.Probe = probe
 	return Decision{Offer: *o, VM: w.vm.ID, Reserved: true}
 }
 
--- /dev/null
+++ b/internal/core/rack/refine.go
@@ -0,0 +1,255 @@
+package rack
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+// refineBudget bounds the work of a refinement: fit checks per offer.
+const refineBudget = 256
+
+// refineRounds bounds how often a refinement goes through the batch.
+const refineRounds = 8
+
+// waitMargin is by how much longer a task may have waited than the task that
+// takes its place within a batch.
+const waitMargin = time.Second
+
+// fresh is a reservation made in this batch, which nobody has heard of yet.
+type fresh struct {
+	entry *entry
+	offer int
+}
+
+// refiner improves on the greedy placement of a batch by local search. It
+// moves reservations of this batch to other workers and, within a team,
+// exchanges placed and refused offers where that fills more. No team loses
+// room to another one.
+type refiner struct {
+	rack      *Rack
+	batch     *batch
+	decisions []Decision
+	refused   []int
+	avoid     []model.VMID // scratch space of search
+	budget    int
+	now       time.Duration
+}
+
+func (r *Rack) refine(b *batch, decisions []Decision, now time.Duration) {
+	f := refiner{rack: r, batch: b, decisions: decisions, now: now, budget: refineBudget * len(decisions)}
+	if len(b.fresh) == 0 {
+		return
+	}
+	for i := range decisions {
+		if !decisions[i].Reserved && decisions[i].Reason == ReasonNoCapacity {
+			f.refused = append(f.refused, i)
+		}
+	}
+	for round := 0; round < refineRounds && len(f.refused) > 0; round++ {
+		improved := f.admitRefused()
+		improved = f.splitAll() || improved
+		improved = f.mergeAll() || improved
+		if !improved || f.budget <= 0 {
+			return
+		}
+	}
+}
+
+// check takes one fit check from the budget.
+func (f *refiner) check(size, free model.Resources) bool {
+	f.budget--
+	return f.budget >= 0 && size.Fits(free)
+}
+
+func (f *refiner) offer(i int) *Offer { return &f.batch.offers[i] }
+
+// weight is what counts as filled: the sum of the parts of a worker.
+func (f *refiner) weight(size model.Resources) float64 {
+	scale := f.rack.scale
+	return fraction(size.MilliCPU, scale.MilliCPU) + fraction(size.MemoryMiB, scale.MemoryMiB) +
+		fraction(size.Accelerators, scale.Accelerators)
+}
+
+// leastGain is the least improvement that counts.
+const leastGain = 1e-9
+
+// admitRefused tries to place each refused offer.
+func (f *refiner) admitRefused() bool {
+	improved := false
+	for k := 0; k < len(f.refused); k++ {
+		i := f.refused[k]
+		if f.admit(i) {
+			f.refused = slices.DeleteFunc(f.refused, func(j int) bool { return j == i })
+			improved = true
+			k--
+		}
+	}
+	return improved
+}
+
+// admit places a refused offer directly, by moving a reservation away, or in
+// the place of a smaller one of its team.
+func (f *refiner) admit(i int) bool {
+	o := f.offer(i)
+	if w := f.search(o, ""); w != nil {
+		f.place(i, w)
+		return true
+	}
+	best, bestGain := -1, leastGain
+	var bestTo *worker
+	for k := range f.batch.fresh {
+		e := f.batch.fresh[k].entry
+		if !f.check(o.Size, e.worker.free.Add(e.Size)) || !f.rack.allowed(o, e.worker) {
+			continue
+		}
+		to := f.search(f.offer(f.batch.fresh[k].offer), e.VM)
+		gain := f.weight(o.Size)
+		if to == nil {
+			gain -= f.weight(e.Size)
+			if !f.mayReplace(k, i) {
+				continue
+			}
+		}
+		if gain > bestGain {
+			best, bestGain, bestTo = k, gain, to
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	w, j := f.batch.fresh[best].entry.worker, f.batch.fresh[best].offer
+	f.evict(best)
+	if bestTo != nil {
+		f.place(j, bestTo)
+	} else {
+		f.refused = append(f.refused, j)
+	}
+	f.place(i, w)
+	return true
+}
+
+// search returns an indexed worker with room other than the one left out.
+func (f *refiner) search(o *Offer, leaveOut model.VMID) *worker {
+	f.budget -= len(f.rack.domains)
+	for _, domain := range f.rack.domains {
+		if !allows(o.Domains, domain) || f.rack.domainOut(domain) {
+			continue
+		}
+		avoid := o.Avoid
+		if leaveOut != "" {
+			f.avoid = append(append(f.avoid[:0], o.Avoid...), leaveOut)
+			avoid = f.avoid
+		}
+		if w := f.rack.indexes[domain].find(o.Size, avoid); w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+// mayReplace reports whether the offer may take the place of a reservation.
+func (f *refiner) mayReplace(k, i int) bool {
+	old, o := f.offer(f.batch.fresh[k].offer), f.offer(i)
+	return old.Permit.Team == o.Permit.Team && !old.Urgent && old.Waited <= o.Waited+waitMargin
+}
+
+// splitAll replaces reservations by two refused offers that fill more.
+func (f *refiner) splitAll() bool {
+	improved := false
+	for k := 0; k < len(f.batch.fresh); k++ {
+		if a, b := f.bestSplit(k); b >= 0 {
+			f.exchange([]int{k}, []int{a, b})
+			improved = true
+			k--
+		}
+	}
+	return improved
+}
+
+func (f *refiner) bestSplit(k int) (first, second int) {
+	e := f.batch.fresh[k].entry
+	room := e.worker.free.Add(e.Size)
+	first, second = -1, -1
+	gain := f.weight(e.Size) + leastGain
+	for x, a := range f.refused {
+		if !f.check(f.offer(a).Size, room) || !f.mayReplace(k, a) || !f.rack.allowed(f.offer(a), e.worker) {
+			continue
+		}
+		left := room.Sub(f.offer(a).Size)
+		for _, b := range f.refused[x+1:] {
+			if !f.check(f.offer(b).Size, left) || !f.mayReplace(k, b) || !f.rack.allowed(f.offer(b), e.worker) {
+				continue
+			}
+			if sum := f.weight(f.offer(a).Size) + f.weight(f.offer(b).Size); sum > gain {
+				first, second, gain = a, b, sum
+			}
+		}
+	}
+	return first, second
+}
+
+// mergeAll replaces two reservations of a worker by one refused offer that
+// fills more.
+func (f *refiner) mergeAll() bool {
+	improved := false
+	for k := 0; k < len(f.batch.fresh); k++ {
+		for l := k + 1; l < len(f.batch.fresh); l++ {
+			if f.batch.fresh[k].entry.worker != f.batch.fresh[l].entry.worker {
+				continue
+			}
+			if i := f.bestMerge(k, l); i >= 0 {
+				f.exchange([]int{l, k}, []int{i})
+				improved = true
+				k--
+				break
+			}
+		}
+	}
+	return improved
+}
+
+func (f *refiner) bestMerge(k, l int) int {
+	a, b := f.batch.fresh[k].entry, f.batch.fresh[l].entry
+	room := a.worker.free.Add(a.Size).Add(b.Size)
+	best, gain := -1, f.weight(a.Size)+f.weight(b.Size)+leastGain
+	for _, i := range f.refused {
+		o := f.offer(i)
+		if !f.check(o.Size, room) || !f.mayReplace(k, i) || !f.mayReplace(l, i) || !f.rack.allowed(o, a.worker) {
+			continue
+		}
+		if weight := f.weight(o.Size); weight > gain {
+			best, gain = i, weight
+		}
+	}
+	return best
+}
+
+// exchange replaces reservations of one worker, given in descending order, by
+// refused offers.
+func (f *refiner) exchange(out, in []int) {
+	w := f.batch.fresh[out[0]].entry.worker
+	for _, k := range out {
+		f.refused = append(f.refused, f.batch.fresh[k].offer)
+		f.evict(k)
+	}
+	for _, i := range in {
+		f.refused = slices.DeleteFunc(f.refused, func(j int) bool { return j == i })
+		f.place(i, w)
+	}
+}
+
+func (f *refiner) place(i int, w *worker) {
+	e := f.rack.reserve(w, *f.offer(i), StateReserved, f.now)
+	f.batch.fresh = append(f.batch.fresh, fresh{entry: e, offer: i})
+	f.decisions[i].VM, f.decisions[i].Reserved, f.decisions[i].Reason = w.vm.ID, true, ReasonNone
+}
+
+func (f *refiner) evict(k int) {
+	p := f.batch.fresh[k]
+	f.rack.release(p.entry)
+	f.batch.fresh = slices.Delete(f.batch.fresh, k, k+1)
+	f.decisions[p.offer].VM, f.decisions[p.offer].Reserved = "", false
+	f.decisions[p.offer].Reason = ReasonNoCapacity
+}
--- a/internal/tool/bench/cell.go
+++ b/internal/tool/bench/cell.go
@@ -95,3 +95,28 @@
 	*h = old[:len(old)-1]
 	return last
 }
+
+// rackBatch is what owners offer to one rack within a tick.
+type rackBatch struct {
+	rack   model.PartitionID
+	offers []rack.Offer
+}
+
+// distribute lets an owner pick a rack for each offer.
+func (c *cell) distribute(owner int, offers []rack.Offer) []rackBatch {
+	byRack := make(map[model.PartitionID][]rack.Offer)
+	for _, o := range offers {
+		picked := c.views[owner].Pick(candidate.Query{Size: o.Size, Domains: o.Domains}, 1)
+		if len(picked) > 0 {
+			c.views[owner].Take(picked[0], o.Size)
+			byRack[picked[0]] = append(byRack[picked[0]], o)
+		}
+	}
+	batches := make([]rackBatch, 0, len(byRack))
+	for _, id := range c.order {
+		if len(byRack[id]) > 0 {
+			batches = append(batches, rackBatch{id, byRack[id]})
+		}
+	}
+	return batches
+}
--- a/internal/tool/bench/main.go
+++ b/internal/tool/bench/main.go
@@ -43,10 +43,13 @@
 
 func run() error {
 	t := newTable()
-	if err := placementTable(t); err != nil {
-		return err
+	for _, section := range []func(table) error{shareTable, gangTable} {
+		if err := section(t); err != nil {
+			return err
+		}
+		_ = t.out.Flush()
 	}
-	return t.out.Flush()
+	return nil
 }
 
 var cellSizes = []int{50, 500, 5_000, 24_000}
--- /dev/null
+++ b/internal/tool/bench/shares.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/fairness"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/rack"
+)
+
+// The load of the share measurement.
+const (
+	settleTime  = 5 * time.Second // after which shares must be right
+	watchTime   = 5 * time.Second // over which they are averaged
+	offerTick   = 10 * time.Millisecond
+	summaryTick = 250 * time.Millisecond
+	meanRun     = time.Second
+	offerWindow = 64 // tasks that an owner has on offer or deferred
+)
+
+// sharedTeam is a team of the share measurement and its owner's state.
+type sharedTeam struct {
+	demand  fairness.Demand
+	used    model.Resources // granted and not ended, as the owner knows
+	active  bool
+	waiting []deferred // refused tasks
+	done    float64    // worker-seconds of completed tasks
+	average float64    // of its dominant share while watched
+}
+
+// deferred is a refused task that is offered again at a later reading.
+type deferred struct {
+	at    time.Duration
+	offer rack.Offer
+}
+
+// shareRun drives team owners that decide side by side: each knows only its
+// own tasks and summaries that lag, and offers to racks of its choice.
+type shareRun struct {
+	cell   *cell
+	mix    *mix
+	teams  []*sharedTeam
+	total  model.Resources
+	ends   endHeap
+	now    time.Duration
+	out    model.FailureDomain
+	placed int
+}
+
+func newShareRun(u user, workers int, policy rack.Policy) *shareRun {
+	s := &shareRun{cell: newCell(u.vms(workers), policy, teamCount), mix: newMix(3, u.capacity)}
+	s.total = s.cell.capacity()
+	// Weights, sizes and demands differ; the last team can't use its share.
+	weights := []float64{1, 1, 2, 3, 4, 4}
+	sizes := []model.Resources{{MilliCPU: 1000, MemoryMiB: 1024}, {MilliCPU: 500, MemoryMiB: 4096},
+		{MilliCPU: 2000, MemoryMiB: 4096}, {MilliCPU: 1000, MemoryMiB: 4096},
+		{MilliCPU: 1000, MemoryMiB: 8192}, {MilliCPU: 2000, MemoryMiB: 2048}}
+	for i := range teamCount {
+		tasks := math.Inf(1)
+		if i == teamCount-1 {
+			tasks = 0.05 * float64(s.total.MilliCPU) / float64(sizes[i].MilliCPU)
+		}
+		s.teams = append(s.teams, &sharedTeam{demand: fairness.Demand{
+			Team: teamID(i), Weight: weights[i], Task: sizes[i], Tasks: tasks, Limit: s.total,
+		}})
+	}
+	for _, r := range s.cell.racks {
+		r.SetDomainOut(func(d model.FailureDomain) bool { return d == s.out })
+	}
+	return s
+}
+
+// greedyStart gives the whole cell to the first team before the others come.
+func (s *shareRun) greedyStart() {
+	s.teams[0].active = true
+	s.run(s.now + time.Second)
+	for _, team := range s.teams {
+		team.active = true
+	}
+}
+
+// run advances the virtual clock.
+func (s *shareRun) run(until time.Duration) {
+	for ; s.now < until; s.now += offerTick {
+		s.finish()
+		if s.now%summaryTick == 0 {
+			s.cell.summarize()
+		}
+		s.step()
+	}
+}
+
+func (s *shareRun) finish() {
+	for len(s.ends) > 0 && s.ends[0].end <= s.now {
+		r := heap.Pop(&s.ends).(running)
+		if _, held := s.cell.racks[r.rack].Ended(r.offer.Permit.ID, rack.ResultDone, s.now); !held {
+			continue // lost with its worker
+		}
+		team := s.teams[r.team]
+		team.used = team.used.Sub(r.offer.Size)
+		team.done += r.offer.Size.DominantShare(s.mix.capacity) * (r.end - r.start).Seconds()
+	}
+}
+
+// step collects what all owners offer in a tick and lets the racks decide.
+func (s *shareRun) step() {
+	byRack := make(map[model.PartitionID][]rack.Offer)
+	for i := range s.teams {
+		for _, batch := range s.cell.distribute(i, s.grant(i)) {
+			byRack[batch.rack] = append(byRack[batch.rack], batch.offers...)
+		}
+	}
+	for _, id := range s.cell.order {
+		s.decide(id, byRack[id])
+	}
+}
+
+// grant returns what a team offers in this tick: refused tasks whose delay is
+// over, then new ones, each with the ratio that the team has by then.
+func (s *shareRun) grant(i int) []rack.Offer {
+	team := s.teams[i]
+	var offers []rack.Offer
+	used := team.used
+	for team.active && len(offers) < offerWindow {
+		next := used.Add(team.demand.Task)
+		if float64(next.MilliCPU) > team.demand.Tasks*float64(team.demand.Task.MilliCPU) {
+			break
+		}
+		o, ok := s.next(i)
+		if !ok {
+			break
+		}
+		o.Permit.Ratio = fairness.Ratio(used, s.total, team.demand.Weight)
+		o.RatioStep = fairness.Ratio(team.demand.Task, s.total, team.demand.Weight)
+		offers = append(offers, o)
+		used = next
+	}
+	return offers
+}
+
+// next returns a task that is due, or a new one while few are deferred.
+func (s *shareRun) next(i int) (rack.Offer, bool) {
+	team := s.teams[i]
+	for k, d := range team.waiting {
+		if d.at <= s.now {
+			team.waiting = slices.Delete(team.waiting, k, k+1)
+			return d.offer, true
+		}
+	}
+	if len(team.waiting) >= offerWindow {
+		return rack.Offer{}, false
+	}
+	return s.mix.offer(i, team.demand.Task, s.mix.exponential(meanRun)), true
+}
+
+func (s *shareRun) decide(id model.PartitionID, offers []rack.Offer) {
+	if len(offers) == 0 {
+		return
+	}
+	for _, d := range s.cell.racks[id].PlaceBatch(offers, s.now) {
+		team := teamNumber(d.Offer.Permit.Team)
+		if !d.Reserved {
+			s.teams[team].waiting = append(s.teams[team].waiting, deferred{s.now + d.Retry, d.Offer})
+			continue
+		}
+		s.placed++
+		s.teams[team].used = s.teams[team].used.Add(d.Offer.Size)
+		heap.Push(&s.ends, running{
+			start: s.now, end: s.now + d.Offer.ExpectedRun, team: team, rack: id, vm: d.VM, offer: d.Offer,
+		})
+	}
+}
+
+// watch averages each team's share and returns the largest error against
+// exact weighted max-min on the capacity in service.
+func (s *shareRun) watch() (worst float64, lines string) {
+	total := s.cell.capacity()
+	demands := make([]fairness.Demand, len(s.teams))
+	for i, team := range s.teams {
+		demands[i] = team.demand
+		team.average = 0
+	}
+	ticks := int(watchTime / offerTick)
+	for range ticks {
+		s.run(s.now + offerTick)
+		for _, team := range s.teams {
+			team.average += team.used.DominantShare(total) / float64(ticks)
+		}
+	}
+	for i, tasks := range fairness.WaterFill(total, demands) {
+		exact := tasks * demands[i].Task.DominantShare(total)
+		off := s.teams[i].average/exact - 1
+		worst = max(worst, math.Abs(off))
+		lines += fmt.Sprintf(" %+.1f", 100*off)
+	}
+	return worst, lines
+}
+
+func (s *shareRun) inUse() float64 {
+	total := s.cell.capacity()
+	var used model.Resources
+	for _, team := range s.teams {
+		used = used.Add(team.used)
+	}
+	return used.DominantShare(total)
+}
+
+func shareTable(t table) error {
+	t.row("shares", "workers", "claims", "worst error", "per team, %", "in use")
+	for _, u := range []user{guild, vestfjord} {
+		for _, n := range []int{50, 500} {
+			for _, claims := range []int{-1, 0} {
+				s := newShareRun(u, n, rack.Policy{MaxClaims: claims})
+				s.greedyStart()
+				s.run(s.now + settleTime)
+				worst, lines := s.watch()
+				t.row(u.name, fmt.Sprint(n), fmt.Sprint(claims == 0), fmt.Sprintf("%.1f %%", 100*worst), lines, fmt.Sprintf("%.1f %%", 100*s.inUse()))
+				if err := s.cell.check(); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
