Offer one task at a time to a full rack and stay with it

Ruled out: the ratios of victims (all higher) and the checkpoints (sent, ended). Change: without room one task is offered, to the rack that refused it last and to another after 16 refusals.

--- a/internal/app/teamowner/schedule.go
+++ b/internal/app/teamowner/schedule.go
@@ -82,6 +82,15 @@
 			o.state.Delay(job.ID, now)
 			return
 		}
+		if !room && candidate.Offered > 0 {
+			// Another task would take turns with the one that a rack may hold a
+			// worker for, and neither would get it.
+			o.state.Delay(job.ID, now)
+			return
+		}
+		if !room {
+			rack = o.view.stay(rack, candidate)
+		}
 		offer, err := o.state.OfferTask(job.ID, rack.id, rack.epoch, now)
 		if err != nil {
 			return
--- a/internal/app/teamowner/view.go
+++ b/internal/app/teamowner/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamhitch/balsamhitch/internal/core/candidate"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/team"
 	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
 )
@@ -176,6 +177,21 @@
 	return rack, room, true
 }
 
+// moveAfter is the number of refusals after which a task is offered to another
+// full rack.
+const moveAfter = 16
+
+// stay returns the full rack that a task without room is offered to: the one
+// that refused it last, which may hold a worker for it, and another now and
+// then.
+func (v *capacityView) stay(picked *place, candidate team.Candidate) *place {
+	last := v.racks[candidate.RefusedBy]
+	if last == nil || candidate.Refusals%moveAfter == 0 {
+		return picked
+	}
+	return last
+}
+
 // canEverFit reports whether any rack has a VM that an empty fleet would run a
 // task of the job on. It is true while no rack is known.
 func (v *capacityView) canEverFit(job model.Job) bool {
--- a/internal/core/team/job.go
+++ b/internal/core/team/job.go
@@ -42,9 +42,10 @@
 	cancelled bool
 	state     string // empty while open
 	detail    string
-	notBefore time.Duration // offers wait until then
-	refusals  int           // in a row, for lack of capacity
-	queued    bool          // in the ready queue
+	notBefore time.Duration     // offers wait until then
+	refusals  int               // in a row, for lack of capacity
+	refusedBy model.PartitionID // the last rack without room
+	queued    bool              // in the ready queue
 	// restored marks a job of an earlier tenure, whose waiting tasks may run on
 	// a partition that has not reported yet.
 	restored bool
--- a/internal/core/team/tasks.go
+++ b/internal/core/team/tasks.go
@@ -19,9 +19,13 @@
 // Candidate is a job with tasks that may be offered now.
 type Candidate struct {
 	Job      model.Job
-	Waiting  int          // tasks that wait
-	Refusals int          // in a row, for lack of capacity
-	Avoid    []model.VMID // where the next task has failed before
+	Waiting  int // tasks that wait
+	Offered  int // tasks whose offers are unanswered
+	Refusals int // in a row, for lack of capacity
+	// RefusedBy is the rack that refused the next task last. It may hold a
+	// worker for it.
+	RefusedBy model.PartitionID
+	Avoid     []model.VMID // where the next task has failed before
 }
 
 // Candidates returns up to limit jobs that may be offered now, in order. Jobs
@@ -33,10 +37,12 @@
 			continue
 		}
 		found = append(found, Candidate{
-			Job:      j.Job,
-			Waiting:  len(j.waiting),
-			Refusals: j.refusals,
-			Avoid:    j.tasks[j.waiting[len(j.waiting)-1]].avoid,
+			Job:       j.Job,
+			Offered:   j.counts[TaskOffered],
+			Waiting:   len(j.waiting),
+			Refusals:  j.refusals,
+			RefusedBy: j.refusedBy,
+			Avoid:     j.tasks[j.waiting[len(j.waiting)-1]].avoid,
 		})
 	}
 	return found
@@ -88,6 +94,7 @@
 		return
 	}
 	j.refusals = 0
+	j.refusedBy = ""
 	j.notBefore = 0
 	if j.tasks[index].state == TaskOffered {
 		j.set(index, TaskRunning)
@@ -110,6 +117,7 @@
 	}
 	s.requeue(j, index)
 	if backoff {
+		j.refusedBy = entry.Permit.Partition
 		j.delay(now)
 	}
 }
