Reserve gangs rack by rack, as many members as fit on each

Cause: a gang was split by the lagging view and reserved all or nothing on each rack; a split of 9 and 7 on two racks of 8 never fitted, and holds made for refused members hid the very room they held. Ruled out: a better guess of the split; it cannot know what other gangs hold. Change: racks are asked in order and reserve what fits, the rest goes to the next; the gang is committed when no member is missing, else all is released. Conclusion: kept; costs one call a rack in sequence.

--- a/internal/app/rackowner/serve.go
+++ b/internal/app/rackowner/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/host"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -70,35 +71,37 @@
 	return reply
 }
 
-// reserveGang reserves room for all tasks or for none.
+// reserveGang reserves room for as many members of a gang as fit. The team's
+// owner commits or releases them once it has asked every rack.
 func (o *Owner) reserveGang(call *peerpb.OfferTasks) *peerpb.OfferTasksReply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	reply := &peerpb.OfferTasksReply{}
-	offers := make([]rack.Offer, 0, len(call.GetTasks()))
-	for _, message := range call.GetTasks() {
-		offer := o.offerOf(message)
-		if refusal := o.refusePermit(offer.Permit); refusal != nil {
-			reply.Refusal = refusal
-			return reply
-		}
-		offers = append(offers, offer)
-	}
 	now := o.env.Clock().Now()
-	decisions, _ := o.rack.ReserveGang(offers, now, now+gangExpiry)
-	for i, decision := range decisions {
-		result := &peerpb.OfferResult{TaskId: call.GetTasks()[i].GetTaskId(), Vm: string(decision.VM)}
-		if decision.Reserved {
-			o.payload[decision.Offer.Permit.ID] = call.GetTasks()[i]
-		} else {
-			result.Refusal = refusalOf(decision)
-		}
-		reply.Results = append(reply.Results, result)
+	for _, message := range call.GetTasks() {
+		reply.Results = append(reply.Results, o.reserveMember(message, now))
 	}
 	reply.Summary = o.summary()
 	return reply
 }
 
+func (o *Owner) reserveMember(message *peerpb.TaskOffer, now time.Duration) *peerpb.OfferResult {
+	result := &peerpb.OfferResult{TaskId: message.GetTaskId()}
+	offer := o.offerOf(message)
+	if refusal := o.refusePermit(offer.Permit); refusal != nil {
+		result.Refusal = refusal
+		return result
+	}
+	decisions, whole := o.rack.ReserveGang([]rack.Offer{offer}, now, now+gangExpiry)
+	if !whole {
+		result.Refusal = refusalOf(decisions[0])
+		return result
+	}
+	o.payload[offer.Permit.ID] = message
+	result.Vm = string(decisions[0].VM)
+	return result
+}
+
 // endGang starts or frees what reserveGang reserved.
 func (o *Owner) endGang(ctx context.Context, call *peerpb.EndGang) *peerpb.Response {
 	o.mu.Lock()
--- a/internal/app/teamowner/gang.go
+++ b/internal/app/teamowner/gang.go
@@ -1,123 +1,130 @@
 package teamowner
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/team"
+	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
 )
 
-// planGang grants permits for all waiting tasks of a gang. Without room under
-// the upper limit for all it grants none. Racks that seem full are asked too:
-// they may hold workers for the gang.
-func (o *Owner) planGang(candidate team.Candidate) (offerSet, bool) {
-	now := o.env.Clock().Now()
-	job := candidate.Job
-	gang := offerSet{}
-	for range candidate.Waiting {
-		rack, _, ok := o.view.pickRack(job, o.env.Config().DomainOut)
-		if !ok {
-			o.takeBack(gang)
-			return nil, false
-		}
-		offer, err := o.state.OfferTask(job.ID, rack.id, rack.epoch, now)
-		if err != nil {
-			o.takeBack(gang)
-			return nil, false
+// gang is one attempt to start all members of a gang at once.
+type gang struct {
+	job      model.Job
+	racks    []*place // in the order of their ids
+	reserved offerSet
+	missing  int // members without a reservation
+}
+
+// planGang returns an attempt over all racks with room. Every gang asks them
+// in the same order and a rack refuses instead of waiting, so two gangs never
+// block each other. The owner is locked.
+func (o *Owner) planGang(candidate team.Candidate) *gang {
+	g := &gang{job: candidate.Job, reserved: offerSet{}, missing: candidate.Waiting}
+	out := o.env.Config().DomainOut
+	for _, rack := range o.view.racks {
+		if g.job.Size.Fits(rack.free) && rack.allowsAny(g.job, out) {
+			g.racks = append(g.racks, rack)
 		}
-		gang[rack.id] = append(gang[rack.id], offer)
-		o.offered++
 	}
-	return gang, true
+	slices.SortFunc(g.racks, func(a, b *place) int { return cmp.Compare(a.id, b.id) })
+	o.state.Delay(g.job.ID, o.env.Clock().Now())
+	return g
 }
 
-// takeBack returns the permits of a gang that was not sent. The owner is
-// locked.
-func (o *Owner) takeBack(gang offerSet) {
-	now := o.env.Clock().Now()
-	for _, tasks := range gang {
-		o.offered -= len(tasks)
-		for _, task := range tasks {
-			o.state.Refused(task.Permit.ID, false, now)
-			o.state.Delay(task.Job.ID, now)
+// startGang runs an attempt on the pool.
+func (o *Owner) startGang(ctx context.Context, g *gang) {
+	if err := o.call(func() { o.runGang(ctx, g) }); err != nil {
+		o.logger.WithError(err).Warn("Gang was not tried.")
+	}
+}
+
+// runGang reserves members rack by rack and starts them if all have a place.
+func (o *Owner) runGang(ctx context.Context, g *gang) {
+	for _, rack := range g.racks {
+		if g.missing == 0 {
+			break
 		}
+		o.reserveOn(ctx, g, rack)
+	}
+	commit := g.missing == 0 && o.mayAct()
+	if commit {
+		commit = o.intendTasks(ctx, g.members()) == nil
+	}
+	o.endGang(ctx, g, commit)
+	if !commit {
+		o.refuseAll(g.members())
 	}
 }
 
-// startGang reserves a gang on its racks and commits it if all of them agree.
-func (o *Owner) startGang(ctx context.Context, gang offerSet) {
+// members returns all members with a reservation.
+func (g *gang) members() []team.TaskOffer {
 	var all []team.TaskOffer
-	for _, tasks := range gang {
+	for _, tasks := range g.reserved {
 		all = append(all, tasks...)
 	}
-	if err := o.call(func() { o.runGang(ctx, gang, all) }); err != nil {
-		o.refuseAll(all)
-	}
+	return all
 }
 
-func (o *Owner) runGang(ctx context.Context, gang offerSet, all []team.TaskOffer) {
-	if err := o.intendTasks(ctx, all); err != nil || !o.mayAct() {
-		o.refuseAll(all)
+// reserveOn reserves as many members on a rack as fit there.
+func (o *Owner) reserveOn(ctx context.Context, g *gang, rack *place) {
+	address, _, ok := o.env.Owner(rack.id)
+	if !ok || !o.mayAct() {
 		return
 	}
-	if !o.reserveGang(ctx, gang) {
-		o.endGang(ctx, gang, false)
-		o.refuseAll(all)
+	tasks := o.grantGang(g, rack)
+	if len(tasks) == 0 {
 		return
 	}
-	if !o.mayAct() {
-		o.endGang(ctx, gang, false)
-		o.refuseAll(all)
+	reply, err := o.offer(ctx, rack.id, address, tasks, true)
+	if err != nil || reply.GetRefusal() != nil || len(reply.GetResults()) != len(tasks) {
+		// What the rack may have reserved for an unanswered offer expires
+		// there without having started.
+		o.refuseAll(tasks)
 		return
 	}
-	o.endGang(ctx, gang, true)
-}
-
-// reserveGang asks all racks at once and reports whether each reserved its
-// whole part.
-func (o *Owner) reserveGang(ctx context.Context, gang offerSet) bool {
-	var wg sync.WaitGroup
-	agreed := make(chan bool, len(gang))
-	for partition, tasks := range gang {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			agreed <- o.reservePart(ctx, partition, tasks)
-		}()
-	}
-	wg.Wait()
-	close(agreed)
-	for ok := range agreed {
-		if !ok {
-			return false
+	var refused []team.TaskOffer
+	for i, result := range reply.GetResults() {
+		if result.GetRefusal() != nil {
+			refused = append(refused, tasks[i])
+			continue
 		}
+		g.reserved[rack.id] = append(g.reserved[rack.id], tasks[i])
+		g.missing--
 	}
-	return true
+	o.refuseAll(refused)
 }
 
-func (o *Owner) reservePart(ctx context.Context, partition model.PartitionID, tasks []team.TaskOffer) bool {
-	address, _, ok := o.env.Owner(partition)
-	if !ok {
-		return false
-	}
-	reply, err := o.offer(ctx, partition, address, tasks, true)
-	if err != nil || reply.GetRefusal() != nil || len(reply.GetResults()) != len(tasks) {
-		return false
-	}
-	for _, result := range reply.GetResults() {
-		if result.GetRefusal() != nil {
-			return false
+// grantGang grants permits on the rack for members without a reservation.
+func (o *Owner) grantGang(g *gang, rack *place) []team.TaskOffer {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var tasks []team.TaskOffer
+	now := o.env.Clock().Now()
+	room := rack.free
+	for range g.missing {
+		if !g.job.Size.Fits(room) {
+			break
 		}
+		offer, err := o.state.OfferTask(g.job.ID, rack.id, rack.epoch, now)
+		if err != nil {
+			break
+		}
+		room = room.Sub(g.job.Size)
+		tasks = append(tasks, offer)
+		o.offered++
 	}
-	return true
+	return tasks
 }
 
 // endGang commits or releases the reservations on all racks.
-func (o *Owner) endGang(ctx context.Context, gang offerSet, commit bool) {
+func (o *Owner) endGang(ctx context.Context, g *gang, commit bool) {
 	var wg sync.WaitGroup
-	for partition, tasks := range gang {
+	for partition, tasks := range g.reserved {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -128,17 +135,30 @@
 }
 
 func (o *Owner) endPart(ctx context.Context, partition model.PartitionID, tasks []team.TaskOffer, commit bool) {
+	reply, err := o.sendEnd(ctx, partition, tasks, commit)
+	if !commit {
+		return
+	}
+	switch {
+	case err != nil || reply == nil:
+		o.forgetOffers(len(tasks), partition)
+	case reply.GetRefusal() != nil:
+		o.refuseAll(tasks)
+	default:
+		o.takeResults(tasks, reply)
+	}
+}
+
+func (o *Owner) sendEnd(ctx context.Context, partition model.PartitionID, tasks []team.TaskOffer, commit bool) (*peerpb.OfferTasksReply, error) {
+	address, epoch, ok := o.env.Owner(partition)
+	if !ok || epoch != tasks[0].Permit.PartitionEpoch {
+		// The reservation went with its holder.
+		return &peerpb.OfferTasksReply{Refusal: convert.Refuse(peerpb.Refusal_NOT_OWNER, "the rack changed its owner")}, nil
+	}
 	ids := make([]string, 0, len(tasks))
 	for _, task := range tasks {
 		ids = append(ids, task.Permit.ID)
 	}
-	address, _, ok := o.env.Owner(partition)
-	if !ok {
-		if commit {
-			o.forgetOffers(len(tasks), partition)
-		}
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	response, err := o.env.Peer().Call(ctx, address, &peerpb.Request{
@@ -148,16 +168,5 @@
 			Commit:    commit,
 		}},
 	})
-	if !commit {
-		return
-	}
-	reply := response.GetOfferTasks()
-	switch {
-	case err != nil || reply == nil:
-		o.forgetOffers(len(tasks), partition)
-	case reply.GetRefusal() != nil:
-		o.refuseAll(tasks)
-	default:
-		o.takeResults(tasks, reply)
-	}
+	return response.GetOfferTasks(), err
 }
--- a/internal/app/teamowner/schedule.go
+++ b/internal/app/teamowner/schedule.go
@@ -29,8 +29,8 @@
 		return
 	}
 	offers, gangs := o.plan()
-	for _, gang := range gangs {
-		o.startGang(ctx, gang)
+	for _, g := range gangs {
+		o.startGang(ctx, g)
 	}
 	for partition, tasks := range offers {
 		o.startOffer(ctx, partition, tasks)
@@ -38,11 +38,11 @@
 }
 
 // plan grants permits for the tasks that come next.
-func (o *Owner) plan() (offerSet, []offerSet) {
+func (o *Owner) plan() (offerSet, []*gang) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	offers := offerSet{}
-	var gangs []offerSet
+	var gangs []*gang
 	if o.state.Waiting() == 0 {
 		return offers, nil
 	}
@@ -57,9 +57,7 @@
 			continue
 		}
 		if candidate.Job.Kind == model.WorkGang {
-			if gang, ok := o.planGang(candidate); ok {
-				gangs = append(gangs, gang)
-			}
+			gangs = append(gangs, o.planGang(candidate))
 			continue
 		}
 		o.planJob(candidate, offers)
--- a/internal/app/teamowner/view.go
+++ b/internal/app/teamowner/view.go
@@ -216,6 +216,17 @@
 	return false
 }
 
+// allowsAny reports whether one of the rack's failure domains in service suits
+// the job.
+func (p *place) allowsAny(job model.Job, out func(model.FailureDomain) bool) bool {
+	for _, domain := range p.domains {
+		if job.AllowsDomain(domain) && !out(domain) {
+			return true
+		}
+	}
+	return false
+}
+
 // update replaces what is known of a rack by a newer summary.
 func (v *capacityView) update(summary *peerpb.PartitionSummary, settled settledEpoch) {
 	if p := newPlace(summary, settled); p != nil {
