--- /dev/null
+++ b/internal/app/configwatch/main_test.go
@@ -0,0 +1,9 @@
+package configwatch
+
+import (
+	"testing"
+
+	"github.com/balsamhitch/balsamhitch/internal/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, proptest.Settings{Checks: 300}) }
--- a/internal/app/configwatch/members.go
+++ b/internal/app/configwatch/members.go
@@ -52,7 +52,7 @@
 	}
 	calls.Wait()
 	if known && w.nobodyReads(replies) {
-		raise(&w.assumedAt, int64(sent))
+		w.assume(sent)
 	}
 }
 
--- a/internal/app/configwatch/watcher.go
+++ b/internal/app/configwatch/watcher.go
@@ -17,17 +17,22 @@
 // never is the reading of an event that did not happen.
 const never = math.MinInt64
 
+// state is a snapshot and what is known of its age, by the process's clock. The
+// three are read together: a process that stops between reading a snapshot and
+// its age must not take the age of a later one for it.
+type state struct {
+	snapshot  *config.Snapshot
+	provenAt  time.Duration // when it was certainly the newest
+	assumedAt time.Duration // when no member could read the log
+}
+
 // Watcher is safe for concurrent use.
 type Watcher struct {
 	opt Options
 
-	snapshot atomic.Pointer[config.Snapshot]
-	// provenAt is when, by the process's clock, the snapshot was certainly the
-	// newest; assumedAt is when no member could read the log. Both only grow.
-	provenAt  atomic.Int64
-	assumedAt atomic.Int64
-	heard     atomic.Uint64 // newest revision that a member reported
-	shrunk    atomic.Bool   // the log answers, but without records read before
+	state  atomic.Pointer[state]
+	heard  atomic.Uint64 // newest revision that a member reported
+	shrunk atomic.Bool   // the log answers, but without records read before
 
 	mu     sync.Mutex
 	fold   *config.Fold // nil until loaded
@@ -38,9 +43,7 @@
 // New returns a watcher with an empty snapshot, which Run fills.
 func New(opt Options) *Watcher {
 	w := &Watcher{opt: opt.withDefaults(), ready: make(chan struct{})}
-	w.snapshot.Store(config.NewFold().Snapshot())
-	w.provenAt.Store(never)
-	w.assumedAt.Store(never)
+	w.state.Store(&state{snapshot: config.NewFold().Snapshot(), provenAt: never, assumedAt: never})
 	return w
 }
 
@@ -60,7 +63,7 @@
 
 // Snapshot returns the newest snapshot; its revision never falls. Before the
 // watcher is ready it is empty.
-func (w *Watcher) Snapshot() *config.Snapshot { return w.snapshot.Load() }
+func (w *Watcher) Snapshot() *config.Snapshot { return w.state.Load().snapshot }
 
 // Ready reports whether the configuration was loaded. Until then nothing may
 // be decided by the snapshot.
@@ -84,22 +87,30 @@
 	}
 }
 
-// Fresh reports whether keys may be taken and work started by the snapshot.
+// Current returns the newest snapshot and whether keys may be taken and work
+// started by it. Where a decision needs both, it calls Current, not Snapshot
+// and Fresh.
+func (w *Watcher) Current() (snapshot *config.Snapshot, fresh bool) {
+	s := w.state.Load()
+	at := max(s.provenAt, s.assumedAt)
+	fresh = w.Ready() && at != never && w.opt.Clock.Now()-at <= w.opt.FreshFor
+	return s.snapshot, fresh
+}
+
+// Fresh reports whether keys may be taken and work started by the newest
+// snapshot.
 func (w *Watcher) Fresh() bool {
-	if !w.Ready() {
-		return false
-	}
-	at := max(w.provenAt.Load(), w.assumedAt.Load())
-	return at != never && w.opt.Clock.Now()-time.Duration(at) <= w.opt.FreshFor
+	_, fresh := w.Current()
+	return fresh
 }
 
 // Age returns the time since the snapshot was certainly the newest.
 func (w *Watcher) Age() time.Duration {
-	at := w.provenAt.Load()
+	at := w.state.Load().provenAt
 	if at == never {
 		return math.MaxInt64
 	}
-	return w.opt.Clock.Now() - time.Duration(at)
+	return w.opt.Clock.Now() - at
 }
 
 // Vouch takes in that a member reported a revision. It makes the watcher ask
@@ -161,26 +172,49 @@
 	}
 }
 
-// publish makes the fold's state the snapshot; w.mu is held.
+// publish makes the fold's state the snapshot; w.mu is held. What was known of
+// the former snapshot's age holds for a newer one too.
 func (w *Watcher) publish() {
-	if w.fold.Revision() >= w.snapshot.Load().Revision() {
-		w.snapshot.Store(w.fold.Snapshot())
-	}
+	snapshot := w.fold.Snapshot()
+	w.update(func(s *state) bool {
+		if snapshot.Revision() < s.snapshot.Revision() {
+			return false
+		}
+		s.snapshot = snapshot
+		return true
+	})
 }
 
 // prove records that the snapshot of the revision was the newest at the
 // reading. It has no effect if the process has not come as far.
 func (w *Watcher) prove(revision uint64, at time.Duration) {
-	if w.Ready() && w.Snapshot().Revision() >= revision {
-		raise(&w.provenAt, int64(at))
-	}
+	w.update(func(s *state) bool {
+		if !w.Ready() || s.snapshot.Revision() < revision || at <= s.provenAt {
+			return false
+		}
+		s.provenAt = at
+		return true
+	})
+}
+
+// assume records that no member could read the log at the reading.
+func (w *Watcher) assume(at time.Duration) {
+	w.update(func(s *state) bool {
+		if at <= s.assumedAt {
+			return false
+		}
+		s.assumedAt = at
+		return true
+	})
 }
 
-// raise sets the value if it is larger than the present one.
-func raise(value *atomic.Int64, to int64) {
+// update changes a copy of the state and stores it, unless change returns
+// false.
+func (w *Watcher) update(change func(*state) bool) {
 	for {
-		known := value.Load()
-		if to <= known || value.CompareAndSwap(known, to) {
+		known := w.state.Load()
+		next := *known
+		if !change(&next) || w.state.CompareAndSwap(known, &next) {
 			return
 		}
 	}
