--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -290,7 +290,7 @@
 		return Error.Wrap(err)
 	}
 	_, _ = fmt.Fprintln(r.options.Out)
-	writeReasons(r.options.Out, events)
+	WriteReasons(r.options.Out, events)
 	_, _ = fmt.Fprintln(r.options.Out)
 	if broken := WritePromises(r.options.Out, history.Judge(events, history.Options{})); broken > 0 {
 		return Error.New("%d promises broke", broken)
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -87,9 +87,9 @@
 	return table.Flush()
 }
 
-// writeReasons prints why calls were not answered with success, most frequent
+// WriteReasons prints why calls were not answered with success, most frequent
 // first.
-func writeReasons(w io.Writer, events []history.Event) {
+func WriteReasons(w io.Writer, events []history.Event) {
 	counts := make(map[string]int)
 	for _, e := range events {
 		if e.Kind == history.Answered && e.Outcome != "" && e.Outcome != model.OutcomeDone {
--- /dev/null
+++ b/test/process/fixture_test.go
@@ -0,0 +1,249 @@
+// Package process holds tests of the real programs. Each is judged by the
+// history checker.
+package process
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamhitch/balsamhitch/internal/caller"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/demo"
+	"github.com/balsamhitch/balsamhitch/internal/history"
+	"github.com/balsamhitch/balsamhitch/internal/proctest"
+	"github.com/balsamhitch/balsamhitch/internal/standin/cell"
+	"github.com/balsamhitch/balsamhitch/internal/standin/worker"
+)
+
+var binaries string // directory with the built programs
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+// prebuilt names a directory with programs to test in place of a build, such
+// as ones that were built with the race detector.
+const prebuilt = "BALSAM_BINARIES"
+
+func buildAndRun(m *testing.M) int {
+	if binaries = os.Getenv(prebuilt); binaries != "" {
+		return m.Run()
+	}
+	dir, err := os.MkdirTemp("", "balsam-process-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	build := exec.Command("go", "build", "-o", dir+"/", "./cmd/...")
+	build.Dir = "../.."
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	binaries = dir
+	return m.Run()
+}
+
+const (
+	templates = `
+[[template]]
+team = "quotes"
+kinds = ["quick"]
+services = ["quotes"]
+share = 1.0
+max_queued = 1000
+upper_limit = { slots = 32 }
+
+[[template]]
+team = "layouts"
+kinds = ["batch", "gang"]
+share = 1.0
+max_queued = 1000
+upper_limit = { processors = 64, memory = "256GiB" }
+`
+	deadline    = 5 * time.Second
+	sendEvery   = 20 * time.Millisecond
+	jobsEndIn   = time.Minute
+	outputLines = 25
+)
+
+// fixture is a running cell under load.
+type fixture struct {
+	t        *testing.T
+	cluster  *proctest.Cluster
+	operator *demo.Operator
+	recorder *history.Recorder
+	fleet    *caller.Fleet
+	caller   *caller.Caller
+	keys     map[model.TeamID]caller.Credential
+	wg       sync.WaitGroup
+	stop     context.CancelFunc
+}
+
+// start runs a cell with templates and keys, and a steady load of quotes and
+// layouts.
+func start(t *testing.T, relayed bool) *fixture {
+	t.Helper()
+	config := cell.DefaultConfig()
+	config.Workers, config.WorkersPerRack = 6, 2
+	config.Services[0].Runners, config.RunnersPerGroup = 6, 2
+	dir := t.TempDir()
+	cluster, err := proctest.StartCluster(proctest.ClusterOptions{
+		Binaries: binaries, Dir: dir, EntryVMs: 3, Cell: config, Relayed: relayed,
+	})
+	require.NoError(t, err)
+	f := &fixture{
+		t: t, cluster: cluster, recorder: &history.Recorder{}, fleet: caller.NewFleet(),
+		keys: make(map[model.TeamID]caller.Credential),
+	}
+	t.Cleanup(f.close)
+	for _, vm := range cluster.VMs() {
+		require.NoError(t, cluster.AwaitReady(vm))
+		f.fleet.Add(vm.URL())
+	}
+	f.operator = demo.NewOperator(cluster, f.recorder, dir)
+	f.caller = caller.New(f.fleet, f.recorder)
+	require.NoError(t, f.operator.Apply("templates.toml", []byte(templates)))
+	for _, team := range []model.TeamID{"quotes", "layouts"} {
+		f.keys[team], err = f.operator.IssueKey(team)
+		require.NoError(t, err)
+	}
+	f.load()
+	return f
+}
+
+func (f *fixture) close() {
+	if f.t.Failed() {
+		f.t.Log(f.cluster.Group.Dump(outputLines))
+	}
+	f.cluster.Close()
+}
+
+// load sends quotes until judge is called; every third is non-idempotent.
+func (f *fixture) load() {
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	f.wg.Go(func() {
+		ticker := time.NewTicker(sendEvery)
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				f.wg.Go(func() { f.quote(n) })
+			}
+		}
+	})
+}
+
+func (f *fixture) quote(n int) {
+	f.caller.Quick(context.Background(), caller.Quick{
+		Call: fmt.Sprint("quote-", n), Credential: f.keys["quotes"], Service: "quotes", Deadline: deadline,
+		NonIdempotent: n%3 == 0, RunMS: 5, ReplyBytes: 256,
+	})
+}
+
+// submit hands a batch of tasks in and awaits its end in the background.
+func (f *fixture) submit(name string, kind model.WorkKind, tasks int) {
+	run := int64(400)
+	job := caller.Job{
+		Call: name, Credential: f.keys["layouts"], Kind: kind, Tasks: tasks, Processors: 4, Memory: "2GiB",
+		ExpectedRun: time.Second, Task: worker.Payload{RunMS: &run},
+	}
+	f.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), jobsEndIn)
+		defer cancel()
+		path, _ := f.caller.Submit(ctx, job)
+		if path != "" {
+			f.caller.Await(ctx, job, path)
+		}
+	})
+}
+
+// replace starts a VM in the place of another one and waits until it serves.
+func (f *fixture) replace(vm *proctest.EntryVM) {
+	f.t.Helper()
+	f.fleet.Remove(vm.URL())
+	replacement, err := f.cluster.Replace(vm)
+	require.NoError(f.t, err)
+	require.NoError(f.t, f.cluster.AwaitReady(replacement))
+	f.fleet.Add(replacement.URL())
+}
+
+// judge ends the load, waits for all answers and fails the test for every
+// broken promise, for promises that were not put to the test, and if most
+// quotes were not served. It returns the history.
+func (f *fixture) judge(tested ...history.Promise) []history.Event {
+	f.t.Helper()
+	f.stop()
+	f.wg.Wait()
+	f.caller.Close()
+	events, err := f.cluster.Platform.History()
+	require.NoError(f.t, err)
+	events = append(events, f.recorder.Since(0)...)
+	report := history.Judge(events, history.Options{})
+	for _, violation := range report.Violations {
+		f.t.Error(violation)
+	}
+	always := []history.Promise{history.NoOvercommit, history.OnePlace, history.UpperLimit, history.WholeAnswer, history.AtMostOnce, history.NothingLost}
+	for _, promise := range append(always, tested...) {
+		assert.Positive(f.t, report.Tested[promise], "not put to the test: %s", promise)
+	}
+	f.requireServed(events)
+	return events
+}
+
+// count returns how many events the function picks.
+func count(events []history.Event, pick func(history.Event) bool) int {
+	n := 0
+	for _, e := range events {
+		if pick(e) {
+			n++
+		}
+	}
+	return n
+}
+
+// requireServed fails unless most quotes were answered with success, so that
+// a test cannot pass because nothing was run.
+func (f *fixture) requireServed(events []history.Event) {
+	f.t.Helper()
+	quotes := func(kind history.Kind, outcome model.Outcome) int {
+		return count(events, func(e history.Event) bool {
+			return e.Kind == kind && e.Outcome == outcome && strings.HasPrefix(e.Call, "quote-") && (kind != history.Sent || e.Send == 0)
+		})
+	}
+	sent, done := quotes(history.Sent, ""), quotes(history.Answered, model.OutcomeDone)
+	var reasons strings.Builder
+	demo.WriteReasons(&reasons, events)
+	f.t.Logf("quotes: sent %d, done %d, not run %d, unknown %d, longest gap %s\n%s", sent, done,
+		quotes(history.Answered, model.OutcomeNotRun), quotes(history.Answered, model.OutcomeUnknown), longestGap(events), &reasons)
+	assert.Greater(f.t, done, sent*2/3)
+}
+
+// longestGap returns the longest time between two answers to quotes.
+func longestGap(events []history.Event) time.Duration {
+	var last time.Time
+	longest := time.Duration(0)
+	for _, e := range events {
+		if e.Kind != history.Answered || e.Outcome != model.OutcomeDone {
+			continue
+		}
+		if !last.IsZero() {
+			longest = max(longest, e.At.Sub(last))
+		}
+		last = e.At
+	}
+	return longest
+}
