--- a/internal/app/membership/member.go
+++ b/internal/app/membership/member.go
@@ -131,14 +131,23 @@
 // MayAct reports whether this member holds the partition under the epoch and
 // its lease still runs. It is checked right before each effect.
 func (m *Member) MayAct(p model.PartitionID, e model.Epoch) bool {
+	_, ok := m.ActUntil(p, e)
+	return ok
+}
+
+// ActUntil is MayAct and returns besides the reading of this member's clock
+// from which on it may no longer act. An effect that carries it as a deadline
+// and is refused by its target later than that cannot come from a former
+// owner, however long this process pauses after the call.
+func (m *Member) ActUntil(p model.PartitionID, e model.Epoch) (until time.Duration, ok bool) {
 	// The view is loaded before the clock is read: a pause in between then
 	// makes the answer no, not a late yes.
 	view := m.acts.Load()
 	if held, ok := view.held[p]; !ok || held != e {
-		return false
+		return 0, false
 	}
-	now := m.clock.Now()
-	return now < view.logUntil || now < view.extension.Until(p, e)
+	until = max(view.logUntil, view.extension.Until(p, e))
+	return until, m.clock.Now() < until
 }
 
 // Ready reports whether the process has joined and its lease on the log or on
