--- a/internal/app/membership/control.go
+++ b/internal/app/membership/control.go
@@ -159,6 +159,7 @@
 	for id, other := range t.lapsed {
 		if t.removable(other, len(claim.GetPartitions()) > 0) {
 			t.removed[id] = t.now
+			removals.Inc()
 			lapsed := &logpb.LapsedMember{Member: string(id), Renewal: other.Renewed}
 			claim.Lapsed = append(claim.Lapsed, lapsed)
 		}
--- a/internal/app/membership/follower.go
+++ b/internal/app/membership/follower.go
@@ -17,8 +17,8 @@
 // listener hears what the follower reads. It is called with the follower's
 // lock held.
 type listener interface {
-	// onRecord is called after the record has been applied.
-	onRecord(offset uint64, record *logpb.MembersRecord, change ownership.Change)
+	// onRecord is called after the record, read at now, has been applied.
+	onRecord(record *logpb.MembersRecord, change ownership.Change, now time.Duration)
 	// onRebuilt is called after the state was built anew.
 	onRebuilt()
 	// onRead is called at the end of each read, at the clock reading now.
@@ -42,6 +42,7 @@
 	readEnd     time.Duration // when a read last reached the end of the log
 	silentSince time.Duration
 	checkpoint  uint64 // Next of the newest checkpoint read
+	tail        bool   // only the last records are being read
 }
 
 func newFollower(log port.Log, clock port.Clock, logger *logrus.Entry, o timing, l listener) *follower {
@@ -109,7 +110,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if port.LogTruncated.Has(err) {
-		f.restart(batch.Earliest, now)
+		if f.replay != nil {
+			f.logger.WithField("earliest", batch.Earliest).
+				Warn("the log dropped unread records; reading anew")
+		}
+		f.begin(batch, now)
 		return nil
 	}
 	if err != nil {
@@ -120,12 +125,20 @@
 	return nil
 }
 
-// restart drops the state, because records after it are gone.
-func (f *follower) restart(earliest uint64, now time.Duration) {
-	if f.replay != nil {
-		f.logger.WithField("earliest", earliest).Warn("the log dropped unread records; reading anew")
+// begin drops the state and starts over. Of a long log it reads the last
+// records first, since a checkpoint is expected among them.
+func (f *follower) begin(batch port.Batch, now time.Duration) {
+	from := batch.Earliest
+	f.tail = batch.Next > from+startWindow
+	if f.tail {
+		from = batch.Next - startWindow
 	}
-	f.replay = ownership.NewReplay(earliest)
+	f.restart(from, now)
+}
+
+// restart drops the state and reads from the offset on.
+func (f *follower) restart(from uint64, now time.Duration) {
+	f.replay = ownership.NewReplay(from)
 	f.silentSince = now
 	if f.state() != nil {
 		f.rebuilt(now)
@@ -134,16 +147,23 @@
 
 func (f *follower) take(batch port.Batch, now time.Duration) {
 	if f.replay == nil {
-		f.restart(batch.Earliest, now)
+		f.begin(batch, now)
 	}
 	f.replay.Truncated(batch.Earliest)
 	for _, r := range batch.Records {
-		f.apply(r, now)
+		if r.Offset >= f.replay.Next() {
+			f.apply(r, now)
+		}
 	}
 	if f.replay.Next() < batch.Next {
 		return
 	}
 	f.readEnd = now
+	if f.state() == nil && f.tail {
+		f.tail = false
+		f.restart(batch.Earliest, now)
+		return
+	}
 	if len(batch.Records) > 0 {
 		f.silentSince = now
 	}
@@ -155,6 +175,9 @@
 
 func (f *follower) apply(r port.Record, now time.Duration) {
 	record := ownership.Decode(r.Data)
+	if record == nil {
+		skippedRecords.Inc()
+	}
 	change, found := f.replay.Apply(r.Offset, record)
 	if c := record.GetCheckpoint(); c != nil {
 		f.checkpoint = max(f.checkpoint, c.GetNext())
@@ -173,7 +196,7 @@
 	for _, p := range change.Partitions {
 		f.dir.update(state, p)
 	}
-	f.listen.onRecord(r.Offset, record, change)
+	f.listen.onRecord(record, change, now)
 }
 
 func (f *follower) rebuilt(now time.Duration) {
--- a/internal/app/membership/member.go
+++ b/internal/app/membership/member.go
@@ -111,6 +111,7 @@
 func (m *Member) tell(e tenureEvent) {
 	log := m.logger.WithField("partition", e.partition).WithField("epoch", e.epoch)
 	if e.acquired {
+		tenures.Inc()
 		log.Debug("partition acquired")
 		m.opt.Acquired(e.partition, e.epoch)
 		return
@@ -172,8 +173,8 @@
 	return false
 }
 
-func (m *Member) onRecord(_ uint64, record *logpb.MembersRecord, change ownership.Change) {
-	m.readBack(record)
+func (m *Member) onRecord(record *logpb.MembersRecord, change ownership.Change, now time.Duration) {
+	m.readBack(record, now)
 	if change.Joined != "" && change.Joined != m.opt.ID {
 		m.extension.ViewGrew()
 	}
@@ -190,12 +191,12 @@
 }
 
 // readBack notes which of this member's own records have reached the log.
-func (m *Member) readBack(record *logpb.MembersRecord) {
+func (m *Member) readBack(record *logpb.MembersRecord, now time.Duration) {
 	switch body := record.GetBody().(type) {
 	case *logpb.MembersRecord_Renewal:
-		m.renewed(record.GetId(), model.MemberID(body.Renewal.GetMember()))
+		m.renewed(record.GetId(), body.Renewal.GetMember(), now)
 	case *logpb.MembersRecord_Join:
-		m.renewed(record.GetId(), model.MemberID(body.Join.GetMember()))
+		m.renewed(record.GetId(), body.Join.GetMember(), now)
 	case *logpb.MembersRecord_Claim:
 		m.promises.ClaimRead(record.GetId())
 	case *logpb.MembersRecord_Leave:
@@ -203,10 +204,15 @@
 	}
 }
 
-func (m *Member) renewed(record string, member model.MemberID) {
-	if member != m.opt.ID || !m.lease.ReadBack(record) {
+func (m *Member) renewed(record, member string, now time.Duration) {
+	if member != string(m.opt.ID) {
 		return
 	}
+	sent, ok := m.lease.ReadBack(record)
+	if !ok {
+		return
+	}
+	renewalSeconds.Update((now - sent).Seconds())
 	m.extension.Renewed()
 	m.publish()
 }
--- a/internal/app/membership/member_test.go
+++ b/internal/app/membership/member_test.go
@@ -149,6 +149,39 @@
 	})
 }
 
+func TestObserverStartsWithTheNewestCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const junk = 3 * startWindow
+		c := newCluster(t, 4)
+		defer c.stop()
+		c.startMany(3)
+		c.run(5 * time.Second)
+		for range junk {
+			_, _ = c.log.Append(t.Context(), ownership.Stream, [][]byte{{0xff}})
+		}
+		c.run(5 * time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		o := NewObserver(c.log, porttest.NewClock(nil, 0, 0), c.nodes[0].logger)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = o.Run(ctx)
+		}()
+		c.run(time.Second)
+		for _, p := range c.want() {
+			wantAddress, wantEpoch, _ := c.nodes[0].Owner(p)
+			address, epoch, ok := o.Owner(p)
+			assert.True(t, ok, p)
+			assert.Equal(t, wantAddress, address, p)
+			assert.Equal(t, wantEpoch, epoch, p)
+		}
+		assert.Len(t, o.Members(), 3)
+		assert.Less(t, o.state().Skipped(), uint64(junk), "it has not read everything")
+		cancel()
+		<-done
+	})
+}
+
 func TestFrozenMemberIsRefusedAfterItWakes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 6)
--- a/internal/app/membership/observer.go
+++ b/internal/app/membership/observer.go
@@ -47,6 +47,6 @@
 
 type ignore struct{}
 
-func (ignore) onRecord(uint64, *logpb.MembersRecord, ownership.Change) {}
-func (ignore) onRebuilt()                                              {}
-func (ignore) onRead(time.Duration)                                    {}
+func (ignore) onRecord(*logpb.MembersRecord, ownership.Change, time.Duration) {}
+func (ignore) onRebuilt()                                                     {}
+func (ignore) onRead(time.Duration)                                           {}
--- a/internal/app/membership/options.go
+++ b/internal/app/membership/options.go
@@ -27,6 +27,7 @@
 
 const (
 	readLimit       = 1000                   // records of one read
+	startWindow     = 4 * checkpointAfter    // records read first by a process that starts
 	readSlack       = 2 * time.Second        // beyond the wait, before a read counts as failed
 	appendTimeout   = 2 * time.Second        // after which an append's outcome is unknown
 	appendsAtOnce   = 16                     // appends in flight
--- a/internal/app/membership/outage.go
+++ b/internal/app/membership/outage.go
@@ -25,7 +25,10 @@
 		}
 		now := m.clock.Now()
 		lagging := m.lagging(now)
-		m.promised = m.promised && lagging
+		if m.promised && !lagging {
+			m.logger.Info("renewals work again")
+			m.promised = false
+		}
 		if lagging && now >= nextRound {
 			nextRound = now + promiseEvery
 			if !m.extend(ctx) {
@@ -56,8 +59,12 @@
 	if !m.promised && !m.gather(ctx, true) {
 		return false
 	}
-	m.promised = m.gather(ctx, false)
-	return m.promised
+	promised := m.gather(ctx, false)
+	if promised && !m.promised {
+		m.logger.Warn("going on without the log")
+	}
+	m.promised = promised
+	return promised
 }
 
 // gather asks every other member of the view. Unless it only probes, it
@@ -202,7 +209,11 @@
 	holder := model.MemberID(request.GetMember())
 	reply.Detail = m.promises.Consider(m.state(), holder, held, now)
 	reply.Granted = reply.GetDetail() == ""
+	if !reply.GetGranted() {
+		promisesRefused.Inc()
+	}
 	if reply.GetGranted() && !request.GetProbe() {
+		promisesGranted.Inc()
 		m.promises.Grant(holder, held, now+term+m.opt.DriftMargin)
 	}
 	return reply
--- a/internal/core/ownership/lease.go
+++ b/internal/core/ownership/lease.go
@@ -30,15 +30,16 @@
 }
 
 // ReadBack notes that the renewal with the id has been read from the log and
-// reports whether it was sent by this holder recently enough to matter.
-func (l *Lease) ReadBack(id string) bool {
-	at, ok := l.sent[id]
+// returns when it was sent. ok is false if it was not sent by this holder, or
+// too long ago to matter.
+func (l *Lease) ReadBack(id string) (sent time.Duration, ok bool) {
+	sent, ok = l.sent[id]
 	if !ok {
-		return false
+		return 0, false
 	}
 	delete(l.sent, id)
-	l.until = max(l.until, at+l.length)
-	return true
+	l.until = max(l.until, sent+l.length)
+	return sent, true
 }
 
 // Until returns the clock reading at which the lease runs out.
--- a/internal/core/ownership/promise_test.go
+++ b/internal/core/ownership/promise_test.go
@@ -46,11 +46,13 @@
 	l := NewLease(lease)
 	l.Sent("old", time.Second)
 	l.Sent("new", 2*time.Second)
-	assert.True(t, l.ReadBack("new"))
+	l.ReadBack("new")
 	assert.Equal(t, 2*time.Second+lease, l.Until())
-	assert.True(t, l.ReadBack("old"), "lands after the newer one")
+	sent, _ := l.ReadBack("old")
+	assert.Equal(t, time.Second, sent, "lands after the newer one")
 	assert.Equal(t, 2*time.Second+lease, l.Until())
-	assert.False(t, l.ReadBack("old"), "a second copy counts for nothing")
+	_, ok := l.ReadBack("old")
+	assert.False(t, ok, "a second copy counts for nothing")
 }
 
 func TestClaimOfUnknownOutcomeForbidsPromises(t *testing.T) {
