--- a/internal/core/rack/gang.go
+++ b/internal/core/rack/gang.go
@@ -75,6 +75,7 @@
 		d.Retry = r.policy.RetryMax
 		if d.Reason == ReasonNoCapacity {
 			d.Retry = r.noteRefused(&d.Offer, true, now)
+			d.Held = r.holds[d.Offer.Task] != nil
 		}
 	}
 }
--- a/internal/core/rack/hold.go
+++ b/internal/core/rack/hold.go
@@ -46,7 +46,8 @@
 	}
 	seen.last = now
 	r.refused[o.Task] = seen
-	if now-seen.first < r.policy.HoldAfter || !r.mayHold(o, gang) {
+	waited := max(now-seen.first, o.Refused)
+	if waited < r.policy.HoldAfter || !r.mayHold(o, gang) {
 		return r.retryDelay(now)
 	}
 	w, at := r.soonest(o, now)
@@ -124,7 +125,6 @@
 		delete(r.refused, task)
 		r.dropHold(r.holds[task])
 	}
-	r.withdrawClaims(tasks)
 }
 
 // expireHolds drops the holds of tasks that are no longer offered.
--- a/internal/core/rack/place.go
+++ b/internal/core/rack/place.go
@@ -16,11 +16,9 @@
 type batch struct {
 	policy fairness.Policy
 	offers []Offer
-	ghosts []Offer // claims of teams that did not offer
 	byTeam map[model.TeamID]*teamTurn
 	teams  []*teamTurn       // heap
 	misses []model.Resources // sizes that no indexed worker has room for
-	loans  []loan
 	fresh  []fresh
 	shares []float64   // dominant share per offer
 	turns  []*teamTurn // of which used are in use
@@ -31,8 +29,7 @@
 type teamTurn struct {
 	team  model.TeamID
 	turn  fairness.Turn
-	ghost bool
-	queue []int // indexes of offers, or of ghosts, next first
+	queue []int // indexes of offers, next first
 	space []int // memory of queue
 }
 
@@ -54,28 +51,16 @@
 	r.Expire(now)
 	decisions := make([]Decision, len(offers))
 	b := r.newBatch(offers)
-	r.addClaims(b, now)
 	heap.Init(b)
 	for len(b.teams) > 0 {
 		turn := b.teams[0]
 		i := turn.queue[0]
 		turn.queue = turn.queue[1:]
-		step := 0.0
-		if turn.ghost {
-			r.lend(b, &b.ghosts[i], now)
-			step = b.ghosts[i].RatioStep
-		} else {
-			decisions[i] = r.decide(b, i, now)
-			if decisions[i].Reserved {
-				step = offers[i].RatioStep
-			}
-		}
-		b.advance(turn, step)
+		decisions[i] = r.decide(b, i, now)
+		b.advance(turn, decisions[i])
 	}
 	r.refine(b, decisions, now)
-	r.returnLoans(b)
 	r.noteOutcomes(decisions, now)
-	r.noteClaims(b, decisions, now)
 	return decisions
 }
 
@@ -107,10 +92,8 @@
 
 func (b *batch) reset(policy fairness.Policy, offers []Offer) {
 	b.policy, b.offers, b.used = policy, offers, 0
-	b.ghosts = b.ghosts[:0]
 	b.teams = b.teams[:0]
 	b.misses = b.misses[:0]
-	b.loans = b.loans[:0]
 	b.fresh = b.fresh[:0]
 	b.shares = b.shares[:0]
 	if b.byTeam == nil {
@@ -139,19 +122,12 @@
 
 // point sets the team's turn to its next offer.
 func (b *batch) point(turn *teamTurn, ratio float64) {
-	next := &b.next(turn)[turn.queue[0]]
+	next := &b.offers[turn.queue[0]]
 	turn.turn.Ratio = max(ratio, next.Permit.Ratio)
 	turn.turn.Urgent = next.Urgent
 	turn.turn.Waited = next.Waited
 }
 
-func (b *batch) next(turn *teamTurn) []Offer {
-	if turn.ghost {
-		return b.ghosts
-	}
-	return b.offers
-}
-
 // compare orders the offers of one team.
 func (b *batch) compare(i, j int) int {
 	x, y := &b.offers[i], &b.offers[j]
@@ -174,13 +150,17 @@
 	return 1
 }
 
-// advance moves the first team back by the step that its ratio rose.
-func (b *batch) advance(turn *teamTurn, step float64) {
+// advance moves the first team back by what it just got.
+func (b *batch) advance(turn *teamTurn, d Decision) {
 	if len(turn.queue) == 0 {
 		heap.Pop(b)
 		return
 	}
-	b.point(turn, turn.turn.Ratio+step)
+	ratio := turn.turn.Ratio
+	if d.Reserved {
+		ratio += d.Offer.RatioStep
+	}
+	b.point(turn, ratio)
 	heap.Fix(b, 0)
 }
 
@@ -194,6 +174,7 @@
 			delete(r.refused, d.Offer.Task)
 		case d.Reason == ReasonNoCapacity:
 			d.Retry = r.noteRefused(&d.Offer, false, now)
+			d.Held = r.holds[d.Offer.Task] != nil
 		default:
 			d.Retry = r.policy.RetryMax
 		}
--- a/internal/core/rack/rack.go
+++ b/internal/core/rack/rack.go
@@ -59,7 +59,6 @@
 	spread    map[jobDomain]int
 	gangs     map[string]*entry // gang reservations that may expire
 	holds     map[model.TaskID]*hold
-	claims    map[model.TeamID]*claim
 	refused   map[model.TaskID]refusal
 	prunedAt  time.Duration // of refused
 	ends      nextEnd
@@ -82,7 +81,6 @@
 		sidelined: make(map[model.VMID]*worker),
 		gangs:     make(map[string]*entry),
 		holds:     make(map[model.TaskID]*hold),
-		claims:    make(map[model.TeamID]*claim),
 		refused:   make(map[model.TaskID]refusal),
 		health:    health.NewFleet(policy.Health),
 	}
--- a/internal/core/rack/types.go
+++ b/internal/core/rack/types.go
@@ -24,9 +24,6 @@
 type Policy struct {
 	// Order says which team goes first.
 	Order fairness.Policy
-	// MaxClaims is how many refused offers of a team the rack keeps room for
-	// ahead of teams with a higher ratio; a negative value keeps none.
-	MaxClaims int
 	// HoldAfter is how long a task must have been refused for lack of room
 	// before a worker is held for it.
 	HoldAfter time.Duration
@@ -69,6 +66,8 @@
 	RatioStep float64
 	// Waited is for how long the task has waited for its start.
 	Waited time.Duration
+	// Refused is for how long racks have refused the task for lack of room.
+	Refused time.Duration
 	// NonIdempotent keeps the task off workers that are being probed.
 	NonIdempotent bool
 	// Preemptible allows a checkpoint in favor of urgent work.
@@ -111,6 +110,9 @@
 	Reserved bool
 	Reason   Reason        // set when not Reserved
 	Retry    time.Duration // suggested delay before the next offer
+	// Held is set when a worker is held for the refused task: offer it to the
+	// same rack again.
+	Held bool
 }
 
 // State is the phase of a reservation.
@@ -186,7 +188,6 @@
 
 // The defaults of Policy.
 const (
-	defaultMaxClaims     = 4
 	defaultHoldAfter     = 300 * time.Millisecond
 	defaultHoldGrace     = 2 * time.Second
 	defaultHoldShare     = 0.125
@@ -198,7 +199,6 @@
 )
 
 func (p Policy) withDefaults() Policy {
-	p.MaxClaims = orDefault(p.MaxClaims, defaultMaxClaims)
 	p.HoldAfter = orDefault(p.HoldAfter, defaultHoldAfter)
 	p.HoldGrace = orDefault(p.HoldGrace, defaultHoldGrace)
 	p.HoldShare = orDefault(p.HoldShare, defaultHoldShare)
@@ -210,7 +210,7 @@
 	return p
 }
 
-func orDefault[T int | time.Duration | float64](value, fallback T) T {
+func orDefault[T time.Duration | float64](value, fallback T) T {
 	if value == 0 {
 		return fallback
 	}
--- a/internal/tool/bench/cell.go
+++ b/internal/tool/bench/cell.go
@@ -102,10 +102,15 @@
 	offers []rack.Offer
 }
 
-// distribute lets an owner pick a rack for each offer.
-func (c *cell) distribute(owner int, offers []rack.Offer) []rackBatch {
+// distribute lets an owner pick a rack for each offer, unless a rack holds a
+// worker for the task.
+func (c *cell) distribute(owner int, offers []rack.Offer, held map[model.TaskID]model.PartitionID) []rackBatch {
 	byRack := make(map[model.PartitionID][]rack.Offer)
 	for _, o := range offers {
+		if id, ok := held[o.Task]; ok {
+			byRack[id] = append(byRack[id], o)
+			continue
+		}
 		picked := c.views[owner].Pick(candidate.Query{Size: o.Size, Domains: o.Domains}, 1)
 		if len(picked) > 0 {
 			c.views[owner].Take(picked[0], o.Size)
