Check a key and the age of its configuration on one state

Seen failing with Fresh asked first, and with the age read from the newest state.

Also wired: config.checkpoint_every, and the watcher's gauges in both programs. Still open: partitions read Config and ConfigFresh apart; their starts carry a deadline in the worker's clock.

--- a/internal/app/configwatch/watcher.go
+++ b/internal/app/configwatch/watcher.go
@@ -87,22 +87,30 @@
 	}
 }
 
-// Current returns the newest snapshot and whether keys may be taken and work
-// started by it. Where a decision needs both, it calls Current, not Snapshot
-// and Fresh.
-func (w *Watcher) Current() (snapshot *config.Snapshot, fresh bool) {
+// View is one snapshot and its age, for a decision that takes several looks at
+// the configuration. Fresh belongs to just this snapshot: a process that stops
+// in the middle of the decision does not take the age of a later one for it.
+type View struct {
+	*config.Snapshot
+	watcher *Watcher
+	newest  time.Duration // when the snapshot was the newest, as far as known
+}
+
+// View returns the newest snapshot with its age.
+func (w *Watcher) View() View {
 	s := w.state.Load()
-	at := max(s.provenAt, s.assumedAt)
-	fresh = w.Ready() && at != never && w.opt.Clock.Now()-at <= w.opt.FreshFor
-	return s.snapshot, fresh
+	return View{Snapshot: s.snapshot, watcher: w, newest: max(s.provenAt, s.assumedAt)}
+}
+
+// Fresh reports whether keys may be taken and work started by the snapshot
+// now. A decision asks last, right before it takes effect.
+func (v View) Fresh() bool {
+	return v.newest != never && v.watcher.opt.Clock.Now()-v.newest <= v.watcher.opt.FreshFor
 }
 
 // Fresh reports whether keys may be taken and work started by the newest
 // snapshot.
-func (w *Watcher) Fresh() bool {
-	_, fresh := w.Current()
-	return fresh
-}
+func (w *Watcher) Fresh() bool { return w.View().Fresh() }
 
 // Age returns the time since the snapshot was certainly the newest.
 func (w *Watcher) Age() time.Duration {
@@ -200,7 +208,7 @@
 // assume records that no member could read the log at the reading.
 func (w *Watcher) assume(at time.Duration) {
 	w.update(func(s *state) bool {
-		if at <= s.assumedAt {
+		if !w.Ready() || at <= s.assumedAt {
 			return false
 		}
 		s.assumedAt = at
--- a/internal/app/configwatch/watcher_test.go
+++ b/internal/app/configwatch/watcher_test.go
@@ -357,6 +357,19 @@
 	assert.False(t, w.nobodyReads([]*peerpb.ConfigReply{silent, {Ready: true, Revision: 2}}))
 }
 
+func TestViewDoesNotTakeALaterAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newIdle(t)
+		w.prove(1, w.opt.Clock.Now())
+		view := w.View()
+		require.True(t, view.Fresh())
+		time.Sleep(10 * time.Second)
+		w.prove(1, w.opt.Clock.Now())
+		assert.True(t, w.Fresh())
+		assert.False(t, view.Fresh())
+	})
+}
+
 func TestOlderStateIsNotInstalled(t *testing.T) {
 	w := newIdle(t)
 	w.install(config.NewFold())
--- a/internal/app/entry/auth.go
+++ b/internal/app/entry/auth.go
@@ -16,12 +16,19 @@
 // authorize returns the template of the workspace if the caller may use it.
 // Without a fresh configuration nobody may: a withdrawn key must stop working.
 func (s *Server) authorize(c *app.RequestContext, team model.TeamID) (model.WorkspaceTemplate, *problem) {
-	keys := s.options.Keys
+	keys := s.options.Keys()
+	template, p := authorizeBy(keys, c, team)
+	// Freshness is checked last: the process may have been stopped in between.
 	if !keys.Fresh() {
-		p := newProblem(request.Unavailable, "the configuration may be out of date, so no key can be checked")
-		p.retryAfter = staleRetryAfter
-		return model.WorkspaceTemplate{}, &p
+		stale := newProblem(request.Unavailable, "the configuration may be out of date, so no key can be checked")
+		stale.retryAfter = staleRetryAfter
+		return model.WorkspaceTemplate{}, &stale
 	}
+	return template, p
+}
+
+// authorizeBy decides by one state of the configuration, whatever its age.
+func authorizeBy(keys Keys, c *app.RequestContext, team model.TeamID) (model.WorkspaceTemplate, *problem) {
 	template, known := keys.Template(team)
 	if known && template.Open {
 		return template, nil
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -27,10 +27,10 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("entry")
 
-// Keys is the configuration as the entry needs it. It is safe for concurrent
-// use.
+// Keys is one state of the configuration as the entry needs it. It is safe for
+// concurrent use.
 type Keys interface {
-	// Fresh reports whether the configuration is recent enough to take keys.
+	// Fresh reports whether this state is recent enough to take keys now.
 	Fresh() bool
 	TeamOfKey(presented string) (model.TeamID, bool)
 	Template(team model.TeamID) (model.WorkspaceTemplate, bool)
@@ -40,7 +40,7 @@
 type Options struct {
 	Settings  settings.Entry
 	Directory host.Directory
-	Keys      Keys
+	Keys      func() Keys // the newest state
 	Peer      port.Peer
 	Clock     port.Clock
 	// Ready reports whether the directory and the configuration have been
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -153,6 +153,15 @@
 	assert.Len(t, w.sends(), 1)
 }
 
+// A key may be withdrawn while the process is stopped in the middle of the
+// check.
+func TestKeyIsNotTakenAfterAStopWithinTheCheck(t *testing.T) {
+	w := newWorld(t, nil)
+	w.set(func() { w.stops = true })
+	assert.Equal(t, http.StatusServiceUnavailable, w.quote().status)
+	assert.Empty(t, w.sends())
+}
+
 func TestAllFindingsAreReportedTogether(t *testing.T) {
 	w := newWorld(t, nil)
 	got := w.do(http.MethodPost, "/v1/workspaces/saddle/jobs",
--- a/internal/app/entrymain/main.go
+++ b/internal/app/entrymain/main.go
@@ -20,7 +20,6 @@
 	"github.com/balsamhitch/balsamhitch/internal/app/membership"
 	"github.com/balsamhitch/balsamhitch/internal/app/probe"
 	"github.com/balsamhitch/balsamhitch/internal/app/vmwatch"
-	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
 
 const (
@@ -58,6 +57,7 @@
 		FreshFor: options.Config.FreshFor,
 		Logger:   logger,
 	})
+	watcher.Register(metrics.GetDefaultSet())
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	failed := make(chan error, 4)
@@ -68,7 +68,7 @@
 	server, err := entry.Start(entry.Options{
 		Settings:  options,
 		Directory: observer,
-		Keys:      keys{watcher},
+		Keys:      func() entry.Keys { return watcher.View() },
 		Peer:      client,
 		Clock:     clock,
 		Ready:     func() bool { return observer.Ready() && watcher.Fresh() },
@@ -108,22 +108,7 @@
 	return err
 }
 
-var _ entry.Keys = keys{}
-
-// keys is the configuration as the entry needs it.
-type keys struct {
-	watcher *configwatch.Watcher
-}
-
-func (k keys) Fresh() bool { return k.watcher.Fresh() }
-
-func (k keys) TeamOfKey(presented string) (model.TeamID, bool) {
-	return k.watcher.Snapshot().TeamOfKey(presented)
-}
-
-func (k keys) Template(team model.TeamID) (model.WorkspaceTemplate, bool) {
-	return k.watcher.Snapshot().Template(team)
-}
+var _ entry.Keys = configwatch.View{}
 
 // members tells the configuration watcher whom it may ask.
 type members struct {
--- a/internal/app/sched/sched.go
+++ b/internal/app/sched/sched.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
@@ -49,12 +50,16 @@
 	Logger  *logrus.Entry
 	// FreshFor is how long a configuration snapshot may be used after it was
 	// certainly the newest.
-	FreshFor  time.Duration
-	TaskLease time.Duration // of tasks on workers; zero for the default
+	FreshFor time.Duration
+	// CheckpointEvery is the time between checkpoints of the configuration.
+	CheckpointEvery time.Duration
+	TaskLease       time.Duration // of tasks on workers; zero for the default
 	// Lease, RenewEvery and DriftMargin are those of partitions.
 	Lease       time.Duration
 	RenewEvery  time.Duration
 	DriftMargin time.Duration
+	// Metrics exports the state of the configuration; it may be nil.
+	Metrics *metrics.Set
 }
 
 // Sched is one balsam-sched process. It is safe for concurrent use.
@@ -88,13 +93,17 @@
 		summaries: newSummaryCache(options.Clock),
 	}
 	s.config = configwatch.New(configwatch.Options{
-		Log:      options.Log,
-		Clock:    options.Clock,
-		Peer:     options.Peer,
-		Members:  s.others,
-		FreshFor: options.FreshFor,
-		Logger:   options.Logger,
+		Log:             options.Log,
+		Clock:           options.Clock,
+		Peer:            options.Peer,
+		Members:         s.others,
+		FreshFor:        options.FreshFor,
+		CheckpointEvery: options.CheckpointEvery,
+		Logger:          options.Logger,
 	})
+	if options.Metrics != nil {
+		s.config.Register(options.Metrics)
+	}
 	s.peer = &localPeer{Peer: options.Peer, address: options.Address, handler: s}
 	e := env{vmCache: s.vms, summaryCache: s.summaries, sched: s}
 	s.manager = host.NewManager(e, s.factories(options), options.Logger)
--- a/internal/app/schedmain/main.go
+++ b/internal/app/schedmain/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
@@ -40,20 +41,22 @@
 	client := peer.New(peer.Options{MaxFrame: int(options.Limits.MaxMessage), Logger: logger})
 	defer func() { _ = client.Close() }()
 	s, err := sched.New(sched.Options{
-		ID:          model.MemberID(id),
-		Address:     options.Address,
-		Domain:      model.FailureDomain(options.FailureDomain),
-		Log:         log,
-		VMList:      vmclient.New(options.Platform.VMList),
-		Worker:      workerclient.New(),
-		Runner:      runnerclient.New(runnerConnections),
-		Peer:        client,
-		Clock:       clock,
-		FreshFor:    options.Config.FreshFor,
-		Logger:      logger,
-		Lease:       options.Lease.Duration,
-		RenewEvery:  options.Lease.Renew,
-		DriftMargin: options.Lease.Drift,
+		ID:              model.MemberID(id),
+		Address:         options.Address,
+		Domain:          model.FailureDomain(options.FailureDomain),
+		Log:             log,
+		VMList:          vmclient.New(options.Platform.VMList),
+		Worker:          workerclient.New(),
+		Runner:          runnerclient.New(runnerConnections),
+		Peer:            client,
+		Clock:           clock,
+		FreshFor:        options.Config.FreshFor,
+		CheckpointEvery: options.Config.CheckpointEvery,
+		Metrics:         metrics.GetDefaultSet(),
+		Logger:          logger,
+		Lease:           options.Lease.Duration,
+		RenewEvery:      options.Lease.Renew,
+		DriftMargin:     options.Lease.Drift,
 	})
 	if err != nil {
 		return err
