Keep proofs young enough not to ask the members

Cause: in a real cell with an idle, healthy log the age of the configuration was 1.59 s, since a proof dates from before its long poll of 800 ms and the next one comes a poll later. Above 1.5 s the members are asked, so every process asked all the others all the time. A poll now waits a sixth of fresh_for (500 ms).

--- a/internal/app/configwatch/cell_test.go
+++ b/internal/app/configwatch/cell_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,11 +39,13 @@
 	address string
 	log     *porttest.MemClient
 	gate    *porttest.Gate
+	asked   atomic.Int64 // questions of other members
 }
 
 // Serve answers the peer calls of the process.
 func (p *proc) Serve(_ context.Context, request *peerpb.Request) *peerpb.Response {
 	p.gate.Wait()
+	p.asked.Add(1)
 	return &peerpb.Response{Body: &peerpb.Response_Config{Config: p.Answer(request.GetConfigQuery())}}
 }
 
--- a/internal/app/configwatch/follow.go
+++ b/internal/app/configwatch/follow.go
@@ -41,7 +41,7 @@
 	}
 	next := w.Snapshot().Revision()
 	sent := w.opt.Clock.Now()
-	batch, err := read(ctx, w.opt.Log, next, readWait)
+	batch, err := read(ctx, w.opt.Log, next, w.opt.readWait())
 	if port.LogTruncated.Has(err) || (err == nil && batch.Earliest > next) {
 		return w.load(ctx)
 	}
--- a/internal/app/configwatch/options.go
+++ b/internal/app/configwatch/options.go
@@ -30,8 +30,6 @@
 const (
 	// readLimit bounds the records of one read.
 	readLimit = 512
-	// readWait is how long one read waits for new records.
-	readWait = 800 * time.Millisecond
 	// readTimeout bounds one read, which a slow log may take long to answer.
 	readTimeout = 10 * time.Second
 	// retryDelay is the first delay after a failed read.
@@ -66,6 +64,11 @@
 	Logger          *logrus.Entry
 }
 
+// readWait is how long one read waits for new records. A proof is dated from
+// before its read was sent, so it is two reads old when the next one comes,
+// which must be well below the age at which the members are asked.
+func (o Options) readWait() time.Duration { return o.FreshFor / 6 }
+
 func (o Options) withDefaults() Options {
 	if o.FreshFor == 0 {
 		o.FreshFor = DefaultFreshFor
--- a/internal/app/configwatch/watcher_test.go
+++ b/internal/app/configwatch/watcher_test.go
@@ -211,6 +211,21 @@
 	})
 }
 
+func TestMembersAreNotAskedWhileTheLogAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		time.Sleep(2 * time.Second)
+		for _, p := range c.procs {
+			p.log.SetFaults(porttest.Faults{ReadDelay: 50 * time.Millisecond})
+			p.asked.Store(0)
+		}
+		time.Sleep(time.Hour)
+		for _, p := range c.procs {
+			assert.Zero(t, p.asked.Load())
+		}
+	})
+}
+
 func TestProcessWithoutCoveringCheckpointIsNotReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 0)
