--- a/internal/app/configwatch/watcher_test.go
+++ b/internal/app/configwatch/watcher_test.go
@@ -211,6 +211,21 @@
 	})
 }
 
+func TestMembersAreNotAskedWhileTheLogAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		time.Sleep(2 * time.Second)
+		for _, p := range c.procs {
+			p.log.SetFaults(porttest.Faults{ReadDelay: 50 * time.Millisecond})
+			p.asked.Store(0)
+		}
+		time.Sleep(time.Hour)
+		for _, p := range c.procs {
+			assert.Zero(t, p.asked.Load())
+		}
+	})
+}
+
 func TestProcessWithoutCoveringCheckpointIsNotReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 0)
@@ -357,6 +372,19 @@
 	assert.False(t, w.nobodyReads([]*peerpb.ConfigReply{silent, {Ready: true, Revision: 2}}))
 }
 
+func TestViewDoesNotTakeALaterAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newIdle(t)
+		w.prove(1, w.opt.Clock.Now())
+		view := w.View()
+		require.True(t, view.Fresh())
+		time.Sleep(10 * time.Second)
+		w.prove(1, w.opt.Clock.Now())
+		assert.True(t, w.Fresh())
+		assert.False(t, view.Fresh())
+	})
+}
+
 func TestOlderStateIsNotInstalled(t *testing.T) {
 	w := newIdle(t)
 	w.install(config.NewFold())
