Write peer frames on the caller's goroutine; deliver answers before the end

Cause: each call and each answer woke a writer goroutine, and a session ended for all its calls as soon as one of its four streams read the end of the connection: a call whose answer had already arrived on another stream was then called unknown. The shutdown test showed that once writes became faster.

The pool of queued frames and the state of a call are gone.

--- a/internal/adapter/peer/options.go
+++ b/internal/adapter/peer/options.go
@@ -31,7 +31,6 @@
 	defaultHandlerTimeout = 30 * time.Second
 	keepAliveInterval     = 3 * time.Second
 	writeTimeout          = 2 * time.Second
-	writeQueue            = 256 // frames per stream
 	bufferSize            = 16 << 10
 )
 
--- a/internal/adapter/peer/serverstream.go
+++ b/internal/adapter/peer/serverstream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -18,36 +19,25 @@
 // serverStream reads calls from one stream and writes their answers in the
 // order in which they are ready.
 type serverStream struct {
-	server   *Server
-	session  *yamux.Session
-	conn     net.Conn
-	outgoing chan outFrame
-	done     chan struct{} // closed when nothing can be written any more
+	server  *Server
+	session *yamux.Session
+	conn    net.Conn
 
-	mu     sync.RWMutex // senders share it; drop waits for them
-	closed bool
-}
-
-// outFrame is an answer on its way out.
-type outFrame struct {
-	frame   *peerpb.Frame
-	written func() // nil, or called once the frame was flushed or dropped
+	waiting atomic.Int32 // answers that want the lock
+	mu      sync.Mutex
+	writer  *bufio.Writer
 }
 
 func newServerStream(server *Server, session *yamux.Session, conn net.Conn) *serverStream {
 	return &serverStream{
-		server:   server,
-		session:  session,
-		conn:     conn,
-		outgoing: make(chan outFrame, writeQueue),
-		done:     make(chan struct{}),
+		server:  server,
+		session: session,
+		conn:    conn,
+		writer:  bufio.NewWriterSize(conn, bufferSize),
 	}
 }
 
 func (s *serverStream) serve() {
-	var writer sync.WaitGroup
-	writer.Go(s.writeLoop)
-	defer writer.Wait()
 	reader := bufio.NewReaderSize(s.conn, bufferSize)
 	for {
 		frame, err := readFrame(reader, s.server.options.MaxFrame)
@@ -66,18 +56,12 @@
 // endAfter tells the other side about a bad frame once and closes the
 // connection: after a bad frame nothing on it can be trusted.
 func (s *serverStream) endAfter(err error) {
-	if !BadFrame.Has(err) {
-		_ = s.conn.Close()
-		s.send(outFrame{}) // ends the writer
-		return
+	if BadFrame.Has(err) {
+		s.server.counters.badFrames.Inc()
+		s.server.options.Logger.WithError(err).Warn("closed a connection after a bad frame")
+		s.notice(&peerpb.Frame{Payload: &peerpb.Frame_Error{Error: err.Error()}})
 	}
-	s.server.counters.badFrames.Inc()
-	s.server.options.Logger.WithError(err).Warn("closed a connection after a bad frame")
-	s.send(outFrame{
-		frame:   &peerpb.Frame{Payload: &peerpb.Frame_Error{Error: err.Error()}},
-		written: func() { _ = s.session.Close() },
-	})
-	s.send(outFrame{})
+	_ = s.session.Close()
 }
 
 func (s *serverStream) dispatch(frame *peerpb.Frame) {
@@ -97,17 +81,18 @@
 }
 
 func (s *serverStream) refuse(call uint64, reason string) {
-	s.send(outFrame{frame: &peerpb.Frame{
+	s.notice(&peerpb.Frame{
 		Call:       call,
 		Payload:    &peerpb.Frame_Error{Error: reason},
 		NotStarted: true,
-	}})
+	})
 }
 
 func (s *serverStream) handle(frame *peerpb.Frame) {
 	answer := &peerpb.Frame{Call: frame.GetCall(), Payload: &peerpb.Frame_Error{Error: "handler failed"}}
 	defer func() { // also after a panic: the caller must not wait in vain
-		s.send(outFrame{frame: answer, written: s.server.inFlight.Done})
+		s.answer(answer)
+		s.server.inFlight.Done()
 	}()
 	timeout := defaultHandlerTimeout
 	if left := frame.GetDeadlineUs(); left > 0 {
@@ -127,83 +112,37 @@
 	answer = full
 }
 
-func (s *serverStream) send(out outFrame) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	if s.closed {
-		out.finish()
-		return
-	}
-	select {
-	case s.outgoing <- out:
-	case <-s.done:
-		out.finish()
-	}
-}
-
-func (o outFrame) finish() {
-	if o.written != nil {
-		o.written()
-	}
-}
-
-// writeLoop writes until an empty outFrame or an error. Answers that come
-// later have nobody to go to and are dropped.
-func (s *serverStream) writeLoop() {
-	defer s.drop()
-	writer := bufio.NewWriterSize(s.conn, bufferSize)
-	for out := range s.outgoing {
-		if out.frame == nil || !s.writeBatch(writer, out) {
-			return
-		}
-	}
+// answer writes an answer on the handler's goroutine. The last of the answers
+// that are written at the same time flushes for all of them; each of them
+// counts as in flight until it has returned from here.
+func (s *serverStream) answer(frame *peerpb.Frame) {
+	s.waiting.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.waiting.Add(-1) == 0
+	s.write(frame, last)
 }
 
-// writeBatch writes the answer and all others that wait, then flushes once.
-// It reports whether the stream goes on.
-func (s *serverStream) writeBatch(writer *bufio.Writer, out outFrame) bool {
-	batch := []outFrame{out}
-	last := false
-	for more := true; more && !last; {
-		select {
-		case next := <-s.outgoing:
-			last = next.frame == nil
-			if !last {
-				batch = append(batch, next)
-			}
-		default:
-			more = false
-		}
-	}
-	err := s.writeAll(writer, batch)
-	for _, out := range batch {
-		out.finish()
-	}
-	return err == nil && !last
+// notice writes a frame that no call in flight stands for. Answers don't leave
+// their flush to it: a shutdown would not wait for that.
+func (s *serverStream) notice(frame *peerpb.Frame) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(frame, true)
 }
 
-func (s *serverStream) writeAll(writer *bufio.Writer, batch []outFrame) error {
-	for _, out := range batch {
-		if err := writeFrame(writer, out.frame); err != nil {
-			return err
-		}
+// write is called under the lock. A stream that can't be written is of no use,
+// nor is its session.
+func (s *serverStream) write(frame *peerpb.Frame, flush bool) {
+	_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	err := writeFrame(s.writer, frame)
+	if err == nil {
 		s.server.counters.messagesSent.Inc()
 	}
-	return writer.Flush()
-}
-
-func (s *serverStream) drop() {
-	close(s.done)
-	_ = s.session.Close()
-	s.mu.Lock()
-	s.closed = true
-	s.mu.Unlock()
-	for {
-		select {
-		case out := <-s.outgoing:
-			out.finish()
-		default:
-			return
-		}
+	if err == nil && flush {
+		err = s.writer.Flush()
+	}
+	if err != nil {
+		_ = s.session.Close()
 	}
 }
