--- a/internal/app/membership/member.go
+++ b/internal/app/membership/member.go
@@ -38,10 +38,9 @@
 	removed   map[model.MemberID]time.Duration    // when a removal was last sent
 	unwanted  map[model.PartitionID]time.Duration // since when nobody wants it
 	gone      map[model.MemberID]bool             // another process answers at the address
-	seen      map[string]bool                     // hosts that the VM list has named
-	started   time.Duration
-	changed   time.Duration // when the set of members last changed
-	stale     bool          // changed is to be set at the end of the read
+	seen      map[model.MemberID]bool             // the VM list has named the VM
+	changed   time.Duration                       // when the set of members last changed
+	stale     bool                                // changed is to be set at the end of the read
 	joinSent  time.Duration
 	ckptSent  time.Duration
 	ckptNext  uint64 // Next of the last checkpoint sent
@@ -81,7 +80,7 @@
 		removed:  make(map[model.MemberID]time.Duration),
 		unwanted: make(map[model.PartitionID]time.Duration),
 		gone:     make(map[model.MemberID]bool),
-		seen:     make(map[string]bool),
+		seen:     make(map[model.MemberID]bool),
 	}
 	t := timing{opt.Lease, opt.RenewEvery, opt.DriftMargin}
 	m.follower = newFollower(opt.Log, opt.Clock, opt.Logger, t, m)
@@ -97,11 +96,7 @@
 		return err
 	}
 	defer tasks.Release()
-	now := m.clock.Now()
-	m.mu.Lock()
 	m.tasks = tasks
-	m.started = now
-	m.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return m.follow(ctx) })
 	group.Go(func() error { return m.renewLoop(ctx) })
@@ -116,6 +111,7 @@
 func (m *Member) tell(e tenureEvent) {
 	log := m.logger.WithField("partition", e.partition).WithField("epoch", e.epoch)
 	if e.acquired {
+		tenures.Inc()
 		log.Debug("partition acquired")
 		m.opt.Acquired(e.partition, e.epoch)
 		return
@@ -136,14 +132,23 @@
 // MayAct reports whether this member holds the partition under the epoch and
 // its lease still runs. It is checked right before each effect.
 func (m *Member) MayAct(p model.PartitionID, e model.Epoch) bool {
+	_, ok := m.ActUntil(p, e)
+	return ok
+}
+
+// ActUntil is MayAct and returns besides the reading of this member's clock
+// from which on it may no longer act. An effect that carries it as a deadline
+// and is refused by its target later than that cannot come from a former
+// owner, however long this process pauses after the call.
+func (m *Member) ActUntil(p model.PartitionID, e model.Epoch) (until time.Duration, ok bool) {
 	// The view is loaded before the clock is read: a pause in between then
 	// makes the answer no, not a late yes.
 	view := m.acts.Load()
 	if held, ok := view.held[p]; !ok || held != e {
-		return false
+		return 0, false
 	}
-	now := m.clock.Now()
-	return now < view.logUntil || now < view.extension.Until(p, e)
+	until = max(view.logUntil, view.extension.Until(p, e))
+	return until, m.clock.Now() < until
 }
 
 // Ready reports whether the process has joined and its lease on the log or on
@@ -168,8 +173,8 @@
 	return false
 }
 
-func (m *Member) onRecord(_ uint64, record *logpb.MembersRecord, change ownership.Change) {
-	m.readBack(record)
+func (m *Member) onRecord(record *logpb.MembersRecord, change ownership.Change, now time.Duration) {
+	m.readBack(record, now)
 	if change.Joined != "" && change.Joined != m.opt.ID {
 		m.extension.ViewGrew()
 	}
@@ -186,12 +191,12 @@
 }
 
 // readBack notes which of this member's own records have reached the log.
-func (m *Member) readBack(record *logpb.MembersRecord) {
+func (m *Member) readBack(record *logpb.MembersRecord, now time.Duration) {
 	switch body := record.GetBody().(type) {
 	case *logpb.MembersRecord_Renewal:
-		m.renewed(record.GetId(), model.MemberID(body.Renewal.GetMember()))
+		m.renewed(record.GetId(), body.Renewal.GetMember(), now)
 	case *logpb.MembersRecord_Join:
-		m.renewed(record.GetId(), model.MemberID(body.Join.GetMember()))
+		m.renewed(record.GetId(), body.Join.GetMember(), now)
 	case *logpb.MembersRecord_Claim:
 		m.promises.ClaimRead(record.GetId())
 	case *logpb.MembersRecord_Leave:
@@ -199,10 +204,15 @@
 	}
 }
 
-func (m *Member) renewed(record string, member model.MemberID) {
-	if member != m.opt.ID || !m.lease.ReadBack(record) {
+func (m *Member) renewed(record, member string, now time.Duration) {
+	if member != string(m.opt.ID) {
+		return
+	}
+	sent, ok := m.lease.ReadBack(record)
+	if !ok {
 		return
 	}
+	renewalSeconds.Update((now - sent).Seconds())
 	m.extension.Renewed()
 	m.publish()
 }
--- a/internal/app/teamowner/schedule.go
+++ b/internal/app/teamowner/schedule.go
@@ -29,8 +29,8 @@
 		return
 	}
 	offers, gangs := o.plan()
-	for _, gang := range gangs {
-		o.startGang(ctx, gang)
+	for _, g := range gangs {
+		o.startGang(ctx, g)
 	}
 	for partition, tasks := range offers {
 		o.startOffer(ctx, partition, tasks)
@@ -38,11 +38,11 @@
 }
 
 // plan grants permits for the tasks that come next.
-func (o *Owner) plan() (offerSet, []offerSet) {
+func (o *Owner) plan() (offerSet, []*gang) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	offers := offerSet{}
-	var gangs []offerSet
+	var gangs []*gang
 	if o.state.Waiting() == 0 {
 		return offers, nil
 	}
@@ -57,9 +57,7 @@
 			continue
 		}
 		if candidate.Job.Kind == model.WorkGang {
-			if gang, ok := o.planGang(candidate); ok {
-				gangs = append(gangs, gang)
-			}
+			gangs = append(gangs, o.planGang(candidate))
 			continue
 		}
 		o.planJob(candidate, offers)
@@ -82,6 +80,15 @@
 			o.state.Delay(job.ID, now)
 			return
 		}
+		if !room && candidate.Offered > 0 {
+			// Another task would take turns with the one that a rack may hold a
+			// worker for, and neither would get it.
+			o.state.Delay(job.ID, now)
+			return
+		}
+		if !room {
+			rack = o.view.stay(rack, candidate)
+		}
 		offer, err := o.state.OfferTask(job.ID, rack.id, rack.epoch, now)
 		if err != nil {
 			return
--- a/internal/core/rack/gang.go
+++ b/internal/core/rack/gang.go
@@ -75,6 +75,7 @@
 		d.Retry = r.policy.RetryMax
 		if d.Reason == ReasonNoCapacity {
 			d.Retry = r.noteRefused(&d.Offer, true, now)
+			d.Held = r.holds[d.Offer.Task] != nil
 		}
 	}
 }
@@ -93,6 +94,7 @@
 		e := r.entries[id]
 		delete(r.gangs, id)
 		r.dropHold(r.holds[e.Task])
+		delete(r.refused, e.Task)
 		if e.State == StateGang {
 			e.State = StateReserved
 		}
--- a/internal/core/rack/place.go
+++ b/internal/core/rack/place.go
@@ -16,11 +16,10 @@
 type batch struct {
 	policy fairness.Policy
 	offers []Offer
-	ghosts []Offer // claims of teams that did not offer
 	byTeam map[model.TeamID]*teamTurn
 	teams  []*teamTurn       // heap
 	misses []model.Resources // sizes that no indexed worker has room for
-	loans  []loan
+	fresh  []fresh
 	shares []float64   // dominant share per offer
 	turns  []*teamTurn // of which used are in use
 	used   int
@@ -30,8 +29,7 @@
 type teamTurn struct {
 	team  model.TeamID
 	turn  fairness.Turn
-	ghost bool
-	queue []int // indexes of offers, or of ghosts, next first
+	queue []int // indexes of offers, next first
 	space []int // memory of queue
 }
 
@@ -53,26 +51,16 @@
 	r.Expire(now)
 	decisions := make([]Decision, len(offers))
 	b := r.newBatch(offers)
-	r.addClaims(b, now)
 	heap.Init(b)
 	for len(b.teams) > 0 {
 		turn := b.teams[0]
 		i := turn.queue[0]
 		turn.queue = turn.queue[1:]
-		step := 0.0
-		if turn.ghost {
-			r.lend(b, &b.ghosts[i], now)
-			step = b.ghosts[i].RatioStep
-		} else {
-			decisions[i] = r.decide(b, &offers[i], now)
-			if decisions[i].Reserved {
-				step = offers[i].RatioStep
-			}
-		}
-		b.advance(turn, step)
+		decisions[i] = r.decide(b, i, now)
+		b.advance(turn, decisions[i])
 	}
-	r.returnLoans(b)
-	r.noteClaims(b, decisions, now)
+	r.refine(b, decisions, now)
+	r.noteOutcomes(decisions, now)
 	return decisions
 }
 
@@ -104,10 +92,9 @@
 
 func (b *batch) reset(policy fairness.Policy, offers []Offer) {
 	b.policy, b.offers, b.used = policy, offers, 0
-	b.ghosts = b.ghosts[:0]
 	b.teams = b.teams[:0]
 	b.misses = b.misses[:0]
-	b.loans = b.loans[:0]
+	b.fresh = b.fresh[:0]
 	b.shares = b.shares[:0]
 	if b.byTeam == nil {
 		b.byTeam = make(map[model.TeamID]*teamTurn)
@@ -135,19 +122,12 @@
 
 // point sets the team's turn to its next offer.
 func (b *batch) point(turn *teamTurn, ratio float64) {
-	next := &b.next(turn)[turn.queue[0]]
+	next := &b.offers[turn.queue[0]]
 	turn.turn.Ratio = max(ratio, next.Permit.Ratio)
 	turn.turn.Urgent = next.Urgent
 	turn.turn.Waited = next.Waited
 }
 
-func (b *batch) next(turn *teamTurn) []Offer {
-	if turn.ghost {
-		return b.ghosts
-	}
-	return b.offers
-}
-
 // compare orders the offers of one team.
 func (b *batch) compare(i, j int) int {
 	x, y := &b.offers[i], &b.offers[j]
@@ -170,36 +150,60 @@
 	return 1
 }
 
-// advance moves the first team back by the step that its ratio rose.
-func (b *batch) advance(turn *teamTurn, step float64) {
+// advance moves the first team back by what it just got.
+func (b *batch) advance(turn *teamTurn, d Decision) {
 	if len(turn.queue) == 0 {
 		heap.Pop(b)
 		return
 	}
-	b.point(turn, turn.turn.Ratio+step)
+	ratio := turn.turn.Ratio
+	if d.Reserved {
+		ratio += d.Offer.RatioStep
+	}
+	b.point(turn, ratio)
 	heap.Fix(b, 0)
 }
 
+// noteOutcomes remembers who was refused for lack of room and suggests when to
+// offer again.
+func (r *Rack) noteOutcomes(decisions []Decision, now time.Duration) {
+	for i := range decisions {
+		d := &decisions[i]
+		switch {
+		case d.Reserved:
+			delete(r.refused, d.Offer.Task)
+		case d.Reason == ReasonNoCapacity:
+			d.Retry = r.noteRefused(&d.Offer, false, now)
+			d.Held = r.holds[d.Offer.Task] != nil
+		default:
+			d.Retry = r.policy.RetryMax
+		}
+	}
+}
+
 // decide places one offer or refuses it.
-func (r *Rack) decide(b *batch, o *Offer, now time.Duration) Decision {
+func (r *Rack) decide(b *batch, i int, now time.Duration) Decision {
+	o := &b.offers[i]
 	if held := r.entries[o.Permit.ID]; held != nil {
 		return Decision{Offer: *o, VM: held.VM, Reserved: true}
 	}
 	if reason := r.reject(o); reason != ReasonNone {
-		return Decision{Offer: *o, Reason: reason, Retry: r.policy.RetryMax}
+		return Decision{Offer: *o, Reason: reason}
 	}
-	w := r.probe(o, now)
-	probe := w != nil
-	if !probe {
-		w = r.choose(b, o, now)
+	if w := r.probe(o, now); w != nil {
+		r.reserve(w, *o, StateReserved, now).Probe = true
+		return Decision{Offer: *o, VM: w.vm.ID, Reserved: true}
 	}
+	w := r.choose(b, o, now)
 	if w == nil {
-		reason := r.shortage(o)
-		return Decision{Offer: *o, Reason: reason, Retry: r.noteRefused(o, false, now)}
+		return Decision{Offer: *o, Reason: r.shortage(o)}
+	}
+	if h := r.holds[o.Task]; h != nil || w.hold != nil {
+		r.dropHold(h)
+		r.reserve(w, *o, StateReserved, now)
+	} else {
+		b.fresh = append(b.fresh, fresh{r.reserve(w, *o, StateReserved, now), i})
 	}
-	r.dropHold(r.holds[o.Task])
-	e := r.reserve(w, *o, StateReserved, now)
-	e.Probe = probe
 	return Decision{Offer: *o, VM: w.vm.ID, Reserved: true}
 }
 
