--- a/cmd/balsam-sched/main.go
+++ b/cmd/balsam-sched/main.go
@@ -16,7 +16,7 @@
 
 // cli is the command line.
 type cli struct {
-	Config string `help:"Settings file (TOML)." required:"" type:"existingfile" short:"c"`
+	Config string `help:"Settings file (TOML)." required:"" type:"existingfile" short:"c" aliases:"settings"`
 	Check  bool   `help:"Check the settings and exit."`
 }
 
