Refuse at once what no runner of a group may take

Ruled out: a shorter wait in the group (it would also end waits for a free slot, which are what the queue is for).

Change: a group refuses work that none of its runners may serve (gone, leaving, domain out, or all have refused it), also when that happens while it waits. The entry goes to another group; such refusals cost nothing of the retry budget, since nothing was done for the request. A test that expected the refusal at the deadline now expects it at once.

Seen failing first, each with its guard removed: waiting work when a domain goes out, work that all runners refused, work for a group that is out.

Conclusion: a domain that leaves costs its callers one more hop.

--- a/internal/app/targets/owner.go
+++ b/internal/app/targets/owner.go
@@ -52,11 +52,17 @@
 	mu       sync.Mutex
 	group    *core.Group
 	fence    *permit.Fence
-	waiting  map[*core.Work]chan model.VM // capacity 1; closed when shed
+	waiting  map[*core.Work]chan turn // capacity 1
 	draining bool
 	inFlight sync.WaitGroup
 }
 
+// turn ends the waiting of a request: it gets a runner or a refusal.
+type turn struct {
+	vm      model.VM
+	refusal *peerpb.Refusal
+}
+
 var _ host.Partition = (*Owner)(nil)
 
 // New returns the owner of a target group for one tenure.
@@ -72,7 +78,7 @@
 		logger:  options.Logger.WithFields(logrus.Fields{"part": "targets", "group": id.Name()}),
 		group:   core.New(options.Core, env.Clock().Now()),
 		fence:   permit.NewFence(),
-		waiting: make(map[*core.Work]chan model.VM),
+		waiting: make(map[*core.Work]chan turn),
 	}
 	o.release = newReleaser(o)
 	o.group.SetDomainOut(func(domain model.FailureDomain) bool {
@@ -110,9 +116,16 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.group.SetRunners(vms, o.env.Clock().Now())
+	for _, work := range o.group.Unservable() {
+		o.end(work, turn{refusal: refuseUnservable()})
+	}
 	o.dispatch()
 }
 
+func refuseUnservable() *peerpb.Refusal {
+	return convert.Refuse(peerpb.Refusal_DOMAIN_OUT, "no runner of the target group may take the request")
+}
+
 // dispatch hands waiting work to runners. The owner is locked.
 func (o *Owner) dispatch() {
 	for {
@@ -120,12 +133,16 @@
 		if !ok {
 			return
 		}
-		turn := o.waiting[next.Work]
-		delete(o.waiting, next.Work)
-		turn <- next.VM
+		o.end(next.Work, turn{vm: next.VM})
 	}
 }
 
+// end ends the waiting of work. The owner is locked.
+func (o *Owner) end(work *core.Work, with turn) {
+	o.waiting[work] <- with
+	delete(o.waiting, work)
+}
+
 // Drain refuses new requests, waits for those that wait or run, and reports
 // their permits.
 func (o *Owner) Drain(ctx context.Context) {
--- a/internal/app/targets/owner_test.go
+++ b/internal/app/targets/owner_test.go
@@ -266,7 +266,7 @@
 		w.set(func() { w.out["d0"] = true })
 		reply := o.do(call("out", time.Second))
 		assert.Equal(t, string(model.OutcomeNotRun), reply.GetOutcome())
-		assert.Equal(t, peerpb.Refusal_DEADLINE, reply.GetRefusal().GetReason())
+		assert.Equal(t, peerpb.Refusal_DOMAIN_OUT, reply.GetRefusal().GetReason())
 		w.set(func() { w.out["d0"] = false; w.stale = true })
 		reply = o.do(call("stale", time.Second))
 		assert.Equal(t, peerpb.Refusal_UNAVAILABLE, reply.GetRefusal().GetReason())
@@ -274,6 +274,41 @@
 	})
 }
 
+// TestNothingWaitsForRunnersThatGetNoWork guards requests that would wait for
+// their whole deadline in a group that cannot serve them.
+func TestNothingWaitsForRunnersThatGetNoWork(t *testing.T) {
+	run(t, 1, func(t *testing.T, w *world, o *Owner) {
+		w.set(func() {
+			w.serve = func(context.Context, string) (model.Answer, error) {
+				time.Sleep(time.Second)
+				return model.Answer{Status: 200}, nil
+			}
+		})
+		var all sync.WaitGroup
+		for i := range 9 { // the ninth waits
+			all.Go(func() { o.do(call(fmt.Sprint(i), time.Minute)) })
+		}
+		synctest.Wait()
+		w.set(func() { w.out["d0"] = true })
+		start := time.Now()
+		time.Sleep(2 * tickEvery)
+		assert.Zero(t, o.Summary().GetWaiting())
+		all.Wait()
+		assert.Len(t, w.sends(), 8)
+		assert.Equal(t, time.Second, time.Since(start).Round(100*time.Millisecond))
+		w.set(func() {
+			w.out["d0"] = false
+			w.serve = func(context.Context, string) (model.Answer, error) {
+				return model.Answer{}, port.NotStarted.New("busy")
+			}
+		})
+		start = time.Now()
+		reply := o.do(call("refused", time.Minute))
+		assert.Equal(t, peerpb.Refusal_UNAVAILABLE, reply.GetRefusal().GetReason(), "another group may do better")
+		assert.Zero(t, time.Since(start))
+	})
+}
+
 func TestTakeoverIsUncertainUntilSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(2)
--- a/internal/app/targets/serve.go
+++ b/internal/app/targets/serve.go
@@ -38,18 +38,18 @@
 		Arrived:  now,
 		Deadline: now + left,
 	}
-	turn, refusal := o.begin(work)
+	wait, refusal := o.begin(work)
 	if refusal != nil {
 		return notRun(call, refusal)
 	}
 	defer o.inFlight.Done()
-	return o.attempts(ctx, call, work, turn)
+	return o.attempts(ctx, call, work, wait)
 }
 
 // begin counts the call as in flight and queues its work, or refuses it. The
 // fence is checked and the work queued under one lock: a team's owner that
 // raises the fence sees the permit as held or knows that it is refused.
-func (o *Owner) begin(work *core.Work) (<-chan model.VM, *peerpb.Refusal) {
+func (o *Owner) begin(work *core.Work) (<-chan turn, *peerpb.Refusal) {
 	p := work.Permit
 	if p.Partition != o.id || p.PartitionEpoch != o.epoch {
 		return nil, convert.RefuseAfter(peerpb.Refusal_STALE_EPOCH, "the permit is for another tenure", retryAfterTakeover)
@@ -67,35 +67,38 @@
 		o.release.add(p)
 		return nil, convert.RefuseAfter(peerpb.Refusal_UNAVAILABLE, "the configuration may be out of date", time.Second)
 	}
-	turn, err := o.enqueue(work)
+	if !o.group.Servable(work) {
+		o.release.add(p)
+		return nil, refuseUnservable()
+	}
+	wait, err := o.enqueue(work)
 	if err != nil {
 		return nil, convert.Refuse(peerpb.Refusal_CONFLICT, err.Error())
 	}
 	o.inFlight.Add(1)
-	return turn, nil
+	return wait, nil
 }
 
 // enqueue queues the work and hands out what can run. The owner is locked.
-func (o *Owner) enqueue(work *core.Work) (<-chan model.VM, error) {
-	turn := make(chan model.VM, 1)
+func (o *Owner) enqueue(work *core.Work) (<-chan turn, error) {
+	wait := make(chan turn, 1)
 	shed, err := o.group.Push(work)
 	if err != nil {
 		return nil, err
 	}
-	o.waiting[work] = turn
+	o.waiting[work] = wait
 	if shed != nil {
-		close(o.waiting[shed])
-		delete(o.waiting, shed)
+		o.end(shed, turn{refusal: convert.RefuseAfter(peerpb.Refusal_QUEUE_FULL, "the target group's queue is full", retryAfterTakeover)})
 	}
 	o.dispatch()
-	return turn, nil
+	return wait, nil
 }
 
 // attempts tries runners until one has begun the request. Only idempotent
 // requests go to a second one.
-func (o *Owner) attempts(ctx context.Context, call *peerpb.ExecuteQuick, work *core.Work, turn <-chan model.VM) *peerpb.Response {
+func (o *Owner) attempts(ctx context.Context, call *peerpb.ExecuteQuick, work *core.Work, wait <-chan turn) *peerpb.Response {
 	for attempt := 1; ; attempt++ {
-		vm, refusal := o.wait(ctx, work, turn)
+		vm, refusal := o.wait(ctx, work, wait)
 		if refusal != nil {
 			o.release.add(work.Permit)
 			return notRun(call, refusal)
@@ -105,8 +108,8 @@
 			return o.ended(call, work, answer, err)
 		}
 		again := !call.GetNonIdempotent() && attempt < maxAttempts && ctx.Err() == nil
-		turn = o.refused(work, vm, again)
-		if turn == nil {
+		wait = o.refused(work, vm, again)
+		if wait == nil {
 			o.release.add(work.Permit)
 			return notRun(call, convert.RefuseAfter(peerpb.Refusal_UNAVAILABLE, err.Error(), retryAfterTakeover))
 		}
@@ -116,43 +119,40 @@
 // refused frees the runner that did not begin the work and queues the work
 // again if it may go to another one. Both happen under one lock, so that the
 // permit is never seen as ended in between.
-func (o *Owner) refused(work *core.Work, vm model.VM, again bool) <-chan model.VM {
+func (o *Owner) refused(work *core.Work, vm model.VM, again bool) <-chan turn {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.group.Refused(work.Permit.ID, o.env.Clock().Now())
 	work.Avoid = append(work.Avoid, vm.ID)
-	if !again {
+	if !again || !o.group.Servable(work) {
 		o.dispatch()
 		return nil
 	}
-	turn, err := o.enqueue(work)
+	wait, err := o.enqueue(work)
 	if err != nil {
 		return nil
 	}
-	return turn
+	return wait
 }
 
 // wait returns the runner that is to serve the work.
-func (o *Owner) wait(ctx context.Context, work *core.Work, turn <-chan model.VM) (model.VM, *peerpb.Refusal) {
+func (o *Owner) wait(ctx context.Context, work *core.Work, wait <-chan turn) (model.VM, *peerpb.Refusal) {
 	select {
-	case vm, ok := <-turn:
-		if !ok {
-			return vm, convert.RefuseAfter(peerpb.Refusal_QUEUE_FULL, "the target group's queue is full", retryAfterTakeover)
-		}
-		return vm, nil
+	case t := <-wait:
+		return t.vm, t.refusal
 	case <-ctx.Done():
-		return o.withdraw(work, turn)
+		return o.withdraw(work, wait)
 	}
 }
 
-// withdraw gives up waiting at the deadline. The work may have got a runner or
-// been shed in the same moment.
-func (o *Owner) withdraw(work *core.Work, turn <-chan model.VM) (model.VM, *peerpb.Refusal) {
+// withdraw gives up waiting at the deadline. The work may have got its turn in
+// the same moment.
+func (o *Owner) withdraw(work *core.Work, wait <-chan turn) (model.VM, *peerpb.Refusal) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.group.Withdraw(work) {
 		delete(o.waiting, work)
-	} else if _, assigned := <-turn; assigned {
+	} else if t := <-wait; t.refusal == nil {
 		o.group.Done(work.Permit.ID)
 		o.dispatch()
 	}
--- a/internal/core/request/machine.go
+++ b/internal/core/request/machine.go
@@ -161,13 +161,19 @@
 		m.mayHaveRun = true
 	}
 	m.last = a.Refusal
-	if !m.mayRepeat(a) || !budget() {
+	if !m.mayRepeat(a) || costs(a) && !budget() {
 		return m.refuse(a.Refusal)
 	}
 	m.avoid = append(m.avoid, m.permit.Partition)
 	return m.retry()
 }
 
+// costs reports whether a repeat may load the targets once more. A group that
+// can't take the request at all has done nothing for it.
+func costs(a Attempt) bool {
+	return a.Outcome != model.OutcomeNotRun || a.Refusal.Reason != DomainOut && !a.Refusal.Passes()
+}
+
 // mayRepeat reports whether an attempt that was sent may be followed by
 // another one.
 func (m *Machine) mayRepeat(a Attempt) bool {
--- a/internal/core/targets/group.go
+++ b/internal/core/targets/group.go
@@ -4,6 +4,7 @@
 package targets
 
 import (
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -211,17 +212,42 @@
 	if r == nil || now < r.pausedUntil {
 		return 0
 	}
-	for _, id := range work.Avoid {
-		if id == r.vm.ID {
-			return 0
-		}
+	if slices.Contains(work.Avoid, r.vm.ID) {
+		return 0
 	}
 	return g.free(r, now)
 }
 
+// Servable reports whether any runner may serve the work once it has a free
+// slot. Work without one is better taken elsewhere than kept waiting.
+func (g *Group) Servable(work *Work) bool {
+	return slices.ContainsFunc(g.order, func(r *runner) bool {
+		return g.takesWork(r) && !slices.Contains(work.Avoid, r.vm.ID)
+	})
+}
+
+// Unservable takes out and returns the waiting work that no runner may serve.
+func (g *Group) Unservable() []*Work {
+	var found []*Work
+	for _, work := range g.queue.items {
+		if !g.Servable(work) {
+			found = append(found, work)
+		}
+	}
+	for _, work := range found {
+		g.Withdraw(work)
+	}
+	return found
+}
+
+// takesWork reports whether the runner may get work at all.
+func (g *Group) takesWork(r *runner) bool {
+	return r.listed && !r.vm.Leaving && !g.domainOut(r.vm.FailureDomain)
+}
+
 // free returns how many more requests the runner may get.
 func (g *Group) free(r *runner, now time.Duration) int64 {
-	if !r.listed || r.vm.Leaving || g.domainOut(r.vm.FailureDomain) {
+	if !g.takesWork(r) {
 		return 0
 	}
 	g.forgetLost(r, now)
--- a/internal/core/targets/report.go
+++ b/internal/core/targets/report.go
@@ -24,7 +24,7 @@
 func (g *Group) Summary(now time.Duration) Summary {
 	s := Summary{Waiting: g.queue.Len()}
 	for _, r := range g.order {
-		if r.vm.Leaving || g.domainOut(r.vm.FailureDomain) {
+		if !g.takesWork(r) {
 			continue
 		}
 		free := max(0, g.free(r, now))
