Test that a join moves only its share and that a slow log is served

Cause: the placement rule was tested in the core only, and a log that answers after a second each way outlasts the lease without being down. Ruled out: a longer lease for slow logs, which would lengthen every takeover. Change: two tests in virtual time; no code.

--- a/internal/app/membership/cluster_test.go
+++ b/internal/app/membership/cluster_test.go
@@ -290,6 +290,15 @@
 	return time.Since(begin)
 }
 
+// epochs returns the epoch of each partition that is acted for.
+func (c *cluster) epochs() map[model.PartitionID]model.Epoch {
+	epochs := make(map[model.PartitionID]model.Epoch)
+	for _, a := range c.actors() {
+		epochs[a.Partition] = a.Epoch
+	}
+	return epochs
+}
+
 // observe lets a new observer read for a while.
 func (c *cluster) observe(d time.Duration) *Observer {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/app/membership/member_test.go
+++ b/internal/app/membership/member_test.go
@@ -55,6 +55,27 @@
 	})
 }
 
+func TestJoinMovesOnlyTheNewMembersShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 28)
+		defer c.stop()
+		c.startMany(4)
+		c.run(20 * time.Second)
+		before := c.epochs()
+		joiner := c.start("10.0.0.5:7000")
+		c.run(20 * time.Second)
+		moved := 0
+		for p, e := range c.epochs() {
+			if before[p] != e {
+				moved++
+			}
+		}
+		assert.Len(t, joiner.acts.Load().held, moved, "what moved went to the new member")
+		assert.Equal(t, 5, c.loadsOf(model.KindRack)[joiner.opt.ID], "28 racks among five")
+		assert.LessOrEqual(t, moved, 7, "and at most one of each other kind")
+	})
+}
+
 func TestOrderlyExitLosesNoServiceTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 20)
--- a/internal/app/membership/outage_test.go
+++ b/internal/app/membership/outage_test.go
@@ -51,6 +51,23 @@
 	})
 }
 
+func TestSlowLogIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		defer c.stop()
+		c.startMany(4)
+		c.run(5 * time.Second)
+		for _, n := range c.nodes {
+			n.log.SetFaults(porttest.Faults{AppendDelay: time.Second, ReadDelay: time.Second})
+		}
+		c.runServed(time.Minute)
+		for _, n := range c.nodes {
+			n.log.SetFaults(healthy)
+		}
+		c.runServed(10 * time.Second)
+	})
+}
+
 func TestOneMemberCutOffFromTheLogGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := outage(t, 4, 0, 1, 2)
