--- a/internal/core/health/fleet.go
+++ b/internal/core/health/fleet.go
@@ -68,7 +68,7 @@
 
 const (
 	maxRecent       = 16   // failures remembered per worker
-	maxJobs         = 4096 // jobs and templates remembered
+	maxJobs         = 1024 // jobs and templates remembered
 	maxFailedOn     = 4    // workers remembered per job
 	jobFailsOn      = 3    // workers on which a job must fail to be at fault
 	countersHalveAt = 32   // ends after which a worker's counters are halved
@@ -192,18 +192,22 @@
 	return w
 }
 
-// learn updates the job and template and returns the workers to judge.
+// learn updates the job and template and returns the workers to judge. Jobs
+// are remembered from their first failure on, so that the many that never fail
+// take no memory.
 func (f *Fleet) learn(a Attempt, now time.Duration) []model.VMID {
-	f.prune(now)
-	job := record(f.jobs, a.Job)
-	suspects := job.add(a, now)
 	if a.Template != "" {
 		record(f.templates, a.Template).add(a, now)
 	}
 	if a.Result == Failed {
+		f.prune(now)
+		record(f.jobs, a.Job).add(a, now)
 		return []model.VMID{a.VM}
 	}
-	return suspects
+	if job := f.jobs[a.Job]; job != nil {
+		return job.add(a, now)
+	}
+	return nil
 }
 
 func record[K comparable](records map[K]*jobRecord, key K) *jobRecord {
--- a/internal/core/rack/gang.go
+++ b/internal/core/rack/gang.go
@@ -123,9 +123,11 @@
 	for _, e := range r.gangs {
 		if now >= e.Expiry {
 			expired = append(expired, e.Reservation)
-			r.release(e)
 		}
 	}
 	sortByPermit(expired)
+	for i := range expired {
+		r.release(r.entries[expired[i].Permit.ID])
+	}
 	return expired
 }
--- a/internal/core/rack/hold.go
+++ b/internal/core/rack/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -76,14 +77,14 @@
 func (r *Rack) mayHold(o *Offer, gang bool) bool {
 	singles, gangs := 0, 0
 	for _, h := range r.holds {
-		if !h.gang {
+		switch {
+		case !h.gang:
 			singles++
-			continue
-		}
-		if h.job != o.Job {
-			return !gang && r.underShare(singles, r.policy.HoldShare)
+		case gang && h.job != o.Job:
+			return false
+		default:
+			gangs++
 		}
-		gangs++
 	}
 	if gang {
 		return r.underShare(gangs, r.policy.GangHoldShare)
@@ -129,11 +130,16 @@
 
 // expireHolds drops the holds of tasks that are no longer offered.
 func (r *Rack) expireHolds(now time.Duration) {
+	var expired []*hold
 	for _, h := range r.holds {
 		if now >= h.expires {
-			r.dropHold(h)
+			expired = append(expired, h)
 		}
 	}
+	slices.SortFunc(expired, func(a, b *hold) int { return strings.Compare(string(a.task), string(b.task)) })
+	for _, h := range expired {
+		r.dropHold(h)
+	}
 }
 
 // soonest returns the worker that is expected to have room for the offer
--- a/internal/core/rack/place.go
+++ b/internal/core/rack/place.go
@@ -171,7 +171,9 @@
 		d := &decisions[i]
 		switch {
 		case d.Reserved:
-			delete(r.refused, d.Offer.Task)
+			if len(r.refused) > 0 {
+				delete(r.refused, d.Offer.Task)
+			}
 		case d.Reason == ReasonNoCapacity:
 			d.Retry = r.noteRefused(&d.Offer, false, now)
 			d.Held = r.holds[d.Offer.Task] != nil
