--- a/cmd/balsam-capacity/main.go
+++ b/cmd/balsam-capacity/main.go
@@ -12,7 +12,7 @@
 )
 
 type cli struct {
-	Members int `help:"Entry VMs of the whole cell to work the target out for." default:"264"`
+	Members int `help:"Entry VMs of each region to work the target out for." default:"24"`
 }
 
 func main() {
@@ -20,7 +20,11 @@
 	kong.Parse(&args, kong.Name("balsam-capacity"),
 		kong.Description("Measures the slopes of every role on this machine and prints the table of docs/CAPACITY.md."))
 	measured := capacity.Measure()
-	if err := capacity.WriteSlopes(os.Stdout, measured); err != nil {
+	err := capacity.WriteSlopes(os.Stdout, measured)
+	if err == nil {
+		err = capacity.WriteTarget(os.Stdout, capacity.ByName(measured), args.Members)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "balsam-capacity:", err)
 		os.Exit(1)
 	}
--- a/internal/app/jobtest/cell_test.go
+++ b/internal/app/jobtest/cell_test.go
@@ -141,7 +141,7 @@
 		epoch:   c.epoch,
 		address: fmt.Sprintf("%s@%d", id, c.epoch),
 		stop:    stop,
-		journal: journal.New(c.logs, c.logger),
+		journal: journal.New(c.logs, func() int { return 1 }, c.logger),
 	}
 	e := &env{cell: c, holder: h, id: id, clock: porttest.NewClock(nil, time.Duration(c.epoch)*time.Minute, 0)}
 	if id.Kind() == model.KindRack {
--- a/internal/app/journal/appender.go
+++ b/internal/app/journal/appender.go
@@ -14,9 +14,9 @@
 const (
 	// maxBatch bounds the records of one append.
 	maxBatch = 1000
-	// minAppendGap is the least time between two appends of one process. It
-	// keeps all processes together far below a few hundred appends a second.
-	minAppendGap = 10 * time.Millisecond
+	// appendsPerSecond bounds the appends of all processes together, since the
+	// log takes several hundred a second for everybody.
+	appendsPerSecond = 250
 	// appendTimeout bounds one append.
 	appendTimeout = 2 * time.Second
 	// queueLength bounds the appends that wait.
@@ -31,12 +31,20 @@
 
 // appender joins the records of several callers into one append at a time.
 type appender struct {
-	log   port.Log
-	queue chan pending
+	log     port.Log
+	queue   chan pending
+	members func() int
 }
 
-func newAppender(log port.Log) *appender {
-	return &appender{log: log, queue: make(chan pending, queueLength)}
+func newAppender(log port.Log, members func() int) *appender {
+	return &appender{log: log, queue: make(chan pending, queueLength), members: members}
+}
+
+// gap returns the least time between two appends of this process, so that all
+// processes together keep to the bound. The first append after a pause waits
+// for nothing.
+func (a *appender) gap() time.Duration {
+	return time.Duration(max(a.members(), 1)) * time.Second / appendsPerSecond
 }
 
 func (a *appender) append(ctx context.Context, records []*logpb.JournalRecord) error {
@@ -68,7 +76,7 @@
 			return
 		case first := <-a.queue:
 			a.flush(ctx, a.collect(first))
-			sleep(ctx, minAppendGap)
+			sleep(ctx, a.gap())
 		}
 	}
 }
--- a/internal/app/journal/journal.go
+++ b/internal/app/journal/journal.go
@@ -53,12 +53,13 @@
 	savedAt   time.Time // of the last checkpoint
 }
 
-// New returns a journal that Run fills.
-func New(log port.Log, logger *logrus.Entry) *Journal {
+// New returns a journal that Run fills. Members returns how many processes
+// append to the log.
+func New(log port.Log, members func() int, logger *logrus.Entry) *Journal {
 	return &Journal{
 		log:       log,
 		logger:    logger.WithField("part", "journal"),
-		appends:   newAppender(log),
+		appends:   newAppender(log, members),
 		caughtUp:  make(chan struct{}),
 		listeners: map[model.TeamID]map[int]Listener{},
 		savedAt:   time.Now(),
--- a/internal/app/sched/sched.go
+++ b/internal/app/sched/sched.go
@@ -94,10 +94,10 @@
 		clock:     options.Clock,
 		logger:    options.Logger.WithField("part", "sched"),
 		pool:      pool,
-		journal:   journal.New(options.Log, options.Logger),
 		vms:       &vmCache{list: options.VMList, logger: options.Logger.WithField("part", "vms")},
 		summaries: newSummaryCache(options.Clock),
 	}
+	s.journal = journal.New(options.Log, func() int { return len(s.member.Members()) }, options.Logger)
 	s.config = configwatch.New(configwatch.Options{
 		Log:             options.Log,
 		Clock:           options.Clock,
