Ask the listed entry VMs too before believing that nobody reads the log

Cause: found by review. A process cut off from the log keeps its old view of the members; once all of them were replaced and off the VM list, 'every other member cannot read' held for nobody, and the process took withdrawn keys for up to 15 minutes. Roster joins the VM list's entry VMs with the view and drops only those that were listed before. Ruled out: the VM list alone, which lags behind members that just joined; the view alone, as above. Both programs use it, and a scheduler that has not read the VM list makes no such agreement.

--- a/internal/app/entrymain/main.go
+++ b/internal/app/entrymain/main.go
@@ -53,7 +53,7 @@
 		Log:      log,
 		Clock:    clock,
 		Peer:     client,
-		Members:  members{observer: observer, vms: vms}.addresses,
+		Members:  (&members{observer: observer, vms: vms}).addresses,
 		FreshFor: options.Config.FreshFor,
 		Logger:   logger,
 	})
@@ -114,18 +114,16 @@
 type members struct {
 	observer *membership.Observer
 	vms      *vmwatch.Cache
+	roster   configwatch.Roster
 }
 
-// addresses returns the peer addresses of all members whose VM is not known to
-// be gone.
-func (m members) addresses() (addresses []string, known bool) {
-	if !m.observer.Ready() {
-		return nil, false
-	}
+// addresses returns the peer addresses of all that may read the log. It
+// reports false while the members are not known.
+func (m *members) addresses() (addresses []string, known bool) {
+	var view []string
 	for _, info := range m.observer.Members() {
-		if !m.vms.Gone(info.Address) {
-			addresses = append(addresses, info.Address)
-		}
+		view = append(view, info.Address)
 	}
-	return addresses, true
+	vms, listed := m.vms.VMs()
+	return m.roster.Others("", view, vms), listed && m.observer.Ready()
 }
--- a/internal/app/sched/env.go
+++ b/internal/app/sched/env.go
@@ -69,25 +69,6 @@
 	return c.vms
 }
 
-// gone reports whether the list has been read and does not have the entry VM
-// of a peer address any more. The list names VMs by host; entry VMs may run
-// several programs.
-func (c *vmCache) gone(address string) bool {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	listed := false
-	for _, vm := range c.vms {
-		if vm.Role != model.RoleEntry {
-			continue
-		}
-		listed = true
-		if vm.Address == address {
-			return false
-		}
-	}
-	return listed
-}
-
 // ready reports whether the list has been read once.
 func (c *vmCache) ready() bool {
 	c.mu.RLock()
--- a/internal/app/sched/sched.go
+++ b/internal/app/sched/sched.go
@@ -71,6 +71,8 @@
 	peer      port.Peer
 	member    *membership.Member
 	config    *configwatch.Watcher
+	roster    configwatch.Roster
+	address   string
 	journal   *journal.Journal
 	manager   *host.Manager
 	vms       *vmCache
@@ -85,6 +87,7 @@
 	}
 	s := &Sched{
 		id:        options.ID,
+		address:   options.Address,
 		clock:     options.Clock,
 		logger:    options.Logger.WithField("part", "sched"),
 		pool:      pool,
--- a/internal/app/sched/serve.go
+++ b/internal/app/sched/serve.go
@@ -46,17 +46,15 @@
 	s.config.Vouch(report.GetConfigRevision(), age, model.MemberID(report.GetMember()))
 }
 
-// others returns the peer addresses of the other members whose VM is not gone.
-// It reports false while the members are not known.
+// others returns the peer addresses of the others that may read the log. It
+// reports false while the members are not known.
 func (s *Sched) others() ([]string, bool) {
 	members := s.member.Members()
-	addresses := make([]string, 0, len(members))
-	for _, member := range members {
-		if member.ID != s.id && !s.vms.gone(member.Address) {
-			addresses = append(addresses, member.Address)
-		}
+	view := make([]string, len(members))
+	for i, member := range members {
+		view[i] = member.Address
 	}
-	return addresses, len(members) > 0
+	return s.roster.Others(s.address, view, s.vms.VMs()), len(members) > 0 && s.vms.ready()
 }
 
 // status describes this member for operators.
--- a/internal/app/vmwatch/vmwatch.go
+++ b/internal/app/vmwatch/vmwatch.go
@@ -54,6 +54,16 @@
 	c.vms.Store(&vms)
 }
 
+// VMs returns the last read list, which callers must not change, and whether
+// there is one.
+func (c *Cache) VMs() ([]model.VM, bool) {
+	vms := c.vms.Load()
+	if vms == nil {
+		return nil, false
+	}
+	return *vms, true
+}
+
 // Gone reports whether a read list does not have the entry VM of a peer
 // address. A list without any entry VM proves nothing.
 func (c *Cache) Gone(address string) bool {
