--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -74,18 +74,13 @@
 
 // Policy is what the scheduler optimizes.
 type Policy struct {
-	Name        string        `toml:"name"`
-	OfferWindow time.Duration `toml:"offer_window"` // offers are batched this long
-	Candidates  int           `toml:"candidates"`   // partitions tried per choice
+	Name string `toml:"name"`
 }
 
 // Limits bounds what a scheduler holds and how long it waits.
 type Limits struct {
-	MaxMessage      Size          `toml:"max_message"`  // one peer message
-	MaxAnswers      int           `toml:"max_answers"`  // recorded per team
-	KeepAnswers     time.Duration `toml:"keep_answers"` // for callers that ask again
-	MaxAnswerMemory Size          `toml:"max_answer_memory"`
-	DrainTimeout    time.Duration `toml:"drain_timeout"`
+	MaxMessage   Size          `toml:"max_message"` // one peer message
+	DrainTimeout time.Duration `toml:"drain_timeout"`
 	// QuickRun is the longest that a runner works on a quick request.
 	QuickRun time.Duration `toml:"quick_run"`
 }
@@ -129,15 +124,8 @@
 			Drift:    100 * time.Millisecond,
 		},
 		Config: SchedConfig{FreshFor: defaultFreshFor, CheckpointEvery: 10 * time.Minute},
-		Policy: Policy{Name: PolicyWaiting, OfferWindow: 2 * time.Millisecond, Candidates: 3},
-		Limits: Limits{
-			MaxMessage:      4 * MiB,
-			MaxAnswers:      10_000,
-			KeepAnswers:     10 * time.Minute,
-			MaxAnswerMemory: 8 * MiB,
-			DrainTimeout:    30 * time.Second,
-			QuickRun:        time.Second,
-		},
+		Policy: Policy{Name: PolicyWaiting},
+		Limits: Limits{MaxMessage: 4 * MiB, DrainTimeout: 30 * time.Second},
 		Log: defaultLogging(),
 	}
 }
