--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -125,7 +125,11 @@
 		},
 		Config: SchedConfig{FreshFor: defaultFreshFor, CheckpointEvery: 10 * time.Minute},
 		Policy: Policy{Name: PolicyWaiting},
-		Limits: Limits{MaxMessage: 4 * MiB, DrainTimeout: 30 * time.Second},
+		Limits: Limits{
+			MaxMessage:   4 * MiB,
+			DrainTimeout: 30 * time.Second,
+			QuickRun:     time.Second,
+		},
 		Log: defaultLogging(),
 	}
 }
