--- a/internal/app/configwatch/watcher_test.go
+++ b/internal/app/configwatch/watcher_test.go
@@ -1,8 +1,6 @@
 package configwatch
 
 import (
-	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,9 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/config"
-	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
-	"github.com/balsamhitch/balsamhitch/internal/port"
 	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
 )
 
@@ -226,118 +222,6 @@
 	})
 }
 
-func TestProcessWithoutCoveringCheckpointIsNotReady(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCell(t, 0)
-		key, _ := c.issue()
-		c.append(config.DomainOut("bergen"))
-		c.log.Truncate(config.Stream, 2)
-		p := c.start()
-		time.Sleep(time.Minute)
-		assert.False(t, p.Ready(), "an empty configuration must not stand for a lost one")
-		assert.False(t, p.takes(key))
-	})
-}
-
-func TestRestartFromCheckpointAndTail(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCell(t, 1)
-		key, id := c.issue()
-		time.Sleep(time.Second)
-		require.NoError(t, c.procs[0].Checkpoint(c.ctx))
-		c.append(config.DomainOut("bergen"))
-		c.log.Truncate(config.Stream, 2)
-		p := c.start()
-		time.Sleep(time.Second)
-		assert.True(t, p.takes(key))
-		assert.True(t, p.Snapshot().DomainOut("bergen"))
-		c.append(config.WithdrawKey(id))
-		checkWithdrawn(t, c, key)
-	})
-}
-
-// A process that slept longer than the log keeps its records goes on from a
-// checkpoint and never shows an older state.
-func TestProcessThatMissedTruncatedRecordsReloads(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCell(t, 2)
-		key, id := c.issue()
-		time.Sleep(5 * time.Second)
-		c.isolate(c.procs[0])
-		c.procs[0].gate.Close()
-		time.Sleep(2 * time.Second) // the read under way has its answer
-		c.append(config.WithdrawKey(id))
-		c.append(config.DomainOut("bergen"))
-		time.Sleep(time.Second)
-		require.NoError(t, c.procs[1].Checkpoint(c.ctx))
-		c.log.Truncate(config.Stream, 4)
-		c.procs[0].gate.Open()
-		time.Sleep(time.Second)
-		assert.True(t, c.procs[0].Snapshot().DomainOut("bergen"))
-		checkWithdrawn(t, c, key)
-	})
-}
-
-// shrinkingLog loses all records once wiped.
-type shrinkingLog struct {
-	*porttest.MemLog
-	wiped atomic.Bool
-	empty *porttest.MemLog
-}
-
-func (l *shrinkingLog) Read(
-	ctx context.Context, stream string, from uint64, limit int, wait time.Duration,
-) (port.Batch, error) {
-	if l.wiped.Load() {
-		return l.empty.Read(ctx, stream, from, limit, wait)
-	}
-	return l.MemLog.Read(ctx, stream, from, limit, wait)
-}
-
-// A log that lost its end must not take the configuration back.
-func TestShorterLogDoesNotRevert(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCell(t, 0)
-		c.issue()
-		log := &shrinkingLog{MemLog: c.log, empty: porttest.NewMemLog()}
-		w := New(Options{
-			Log:     log,
-			Clock:   porttest.NewClock(nil, 0, 0),
-			Peer:    c.peers.Client("alone", nil),
-			Members: func() ([]string, bool) { return nil, true },
-			Logger:  quiet(),
-		})
-		go func() { _ = w.Run(c.ctx) }()
-		time.Sleep(time.Second)
-		require.True(t, w.Fresh())
-		revision := w.Snapshot().Revision()
-		log.wiped.Store(true)
-		time.Sleep(10 * time.Second)
-		assert.Equal(t, revision, w.Snapshot().Revision())
-		assert.False(t, w.Fresh())
-	})
-}
-
-func TestCheckpointsAreKeptWhileHeld(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCell(t, 1)
-		c.issue()
-		p := c.procs[0]
-		go p.KeepCheckpoints(c.ctx)
-		p.log.SetFaults(porttest.Faults{AppendsDown: true})
-		time.Sleep(time.Minute)
-		p.log.SetFaults(porttest.Faults{})
-		time.Sleep(time.Hour)
-		retained := c.log.Next(config.Stream)
-		time.Sleep(2 * DefaultCheckpointEvery)
-		c.log.Truncate(config.Stream, retained)
-		fresh := c.start()
-		c.isolate(fresh)
-		time.Sleep(time.Second)
-		assert.Equal(t, []model.TeamID{"quotes"}, fresh.Snapshot().Teams())
-	})
-}
-
 // newIdle returns a loaded watcher that nothing runs, 10 s into its clock.
 func newIdle(t *testing.T) *Watcher {
 	w := New(Options{Clock: porttest.NewClock(nil, 10*time.Second, 0), Logger: quiet()})
@@ -391,15 +275,3 @@
 	assert.Equal(t, uint64(1), w.Snapshot().Revision())
 	assert.Equal(t, uint64(1), w.Answer(&peerpb.ConfigQuery{}).GetRevision())
 }
-
-func TestMemberThatStartsWithoutLogLoadsFromPeers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCell(t, 2)
-		key, _ := c.issue()
-		time.Sleep(5 * time.Second)
-		p := c.start()
-		p.fails()
-		time.Sleep(2 * time.Second)
-		assert.True(t, p.takes(key))
-	})
-}
--- a/internal/app/ctl/ctl_test.go
+++ b/internal/app/ctl/ctl_test.go
@@ -172,6 +172,49 @@
 	})
 }
 
+// Giving a command of unknown outcome again is safe, whichever lands first.
+func TestCommandOfUnknownOutcomeCanBeRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(porttest.NewMemLog())
+		d.access.SetFaults(porttest.Faults{LandLate: time.Minute})
+		require.Error(t, d.TakeDomainOut(t.Context(), "bergen"))
+		d.access.SetFaults(porttest.Faults{})
+		require.NoError(t, d.TakeDomainOut(t.Context(), "bergen"))
+		require.NoError(t, d.ReturnDomain(t.Context(), "bergen"))
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, uint64(3), d.log.Next(config.Stream), "the first has landed")
+		assert.False(t, d.snapshot(t).DomainOut("bergen"))
+	})
+}
+
+// silent is a log that takes records and never answers.
+type silent struct{ port.Log }
+
+func (l silent) Append(ctx context.Context, stream string, records [][]byte) (uint64, error) {
+	_, _ = l.Log.Append(ctx, stream, records)
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func TestAppendWithoutAnswerLeavesTimeToLook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(porttest.NewMemLog())
+		d.Log = silent{d.access}
+		require.NoError(t, d.TakeDomainOut(t.Context(), "bergen"))
+		assert.Equal(t, uint64(1), d.log.Next(config.Stream))
+	})
+}
+
+func TestCheckReportsFindingsAsJSON(t *testing.T) {
+	d := newDesk(porttest.NewMemLog())
+	path := filepath.Join(t.TempDir(), "sched.toml")
+	require.NoError(t, os.WriteFile(path, []byte("colour = 1"), 0o600))
+	assert.Equal(t, ExitBadInput, ExitCode(d.CheckFile(path, "sched")))
+	var list findings.List
+	require.NoError(t, json.Unmarshal(d.out.Bytes(), &list))
+	assert.Contains(t, list, findings.Finding{File: path, Line: 1, Key: "colour", Problem: "unknown key"})
+}
+
 // refusing is a log that certainly takes nothing for a while.
 type refusing struct {
 	port.Log
