--- a/internal/app/targets/owner_test.go
+++ b/internal/app/targets/owner_test.go
@@ -264,7 +264,9 @@
 func TestDomainOutStaleConfigAndDeadlineAreNotRun(t *testing.T) {
 	run(t, 1, func(t *testing.T, w *world, o *Owner) {
 		w.set(func() { w.out["d0"] = true })
+		start := time.Now()
 		reply := o.do(call("out", time.Second))
+		assert.Zero(t, time.Since(start), "it does not even wait for the next look at the runners")
 		assert.Equal(t, string(model.OutcomeNotRun), reply.GetOutcome())
 		assert.Equal(t, peerpb.Refusal_DOMAIN_OUT, reply.GetRefusal().GetReason())
 		w.set(func() { w.out["d0"] = false; w.stale = true })
