Make the process tests' faults certain to hit work

All targets now lose all answers while work is handed in, twelve long non-idempotent requests are on the runners before their team's owner is killed, and an entry is paused while a key is withdrawn, so that it finds the key's requests in its socket buffers when it goes on. Each test waits for the first answer before it begins.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -57,11 +58,20 @@
 	return &Fleet{entries: entries}
 }
 
-// Add puts an entry into the balancer.
-func (f *Fleet) Add(entry string) {
+// Add puts entries into the balancer.
+func (f *Fleet) Add(entries ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries = append(f.entries, entry)
+	f.entries = append(f.entries, entries...)
+}
+
+// Narrow leaves a single entry in the balancer and returns the others.
+func (f *Fleet) Narrow(only string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	others := slices.DeleteFunc(slices.Clone(f.entries), func(entry string) bool { return entry == only })
+	f.entries = []string{only}
+	return others
 }
 
 // Remove takes an entry out of the balancer.
--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -61,16 +62,69 @@
 
 func TestLostAnswersAreNotRepeatedBlindly(t *testing.T) {
 	f := start(t, false)
-	f.submit("batch", model.WorkBatch, 30)
-	for range 4 {
-		for _, target := range []string{cell.TargetLog, "worker-0", "worker-3", "quotes-runner-0", "quotes-runner-3"} {
-			require.NoError(t, f.cluster.Platform.SetFaults(target, fault.Faults{LoseAnswers: 3}))
-		}
-		time.Sleep(warmUp)
+	f.submit("batch", model.WorkBatch, 10)
+	time.Sleep(warmUp)
+	f.eachTarget(fault.Faults{LoseAnswers: -1})
+	f.submit("batch-2", model.WorkBatch, 20)
+	time.Sleep(warmUp)
+	f.eachTarget(fault.Faults{})
+	require.NoError(t, f.cluster.Platform.SetFaults(cell.TargetLog, fault.Faults{LoseAnswers: 5}))
+	f.submit("batch-3", model.WorkBatch, 20)
+	time.Sleep(warmUp)
+	f.judge()
+}
+
+// Requests that run on a runner while the owner of their team dies, with the
+// entry that holds their connections, are sent again by their callers.
+func TestNonIdempotentRequestsRunOnceAcrossOwnerDeath(t *testing.T) {
+	f := start(t, false)
+	f.submit("batch", model.WorkBatch, 10)
+	time.Sleep(warmUp)
+	victim := f.ownerOf("quotes")
+	others := f.fleet.Narrow(victim.URL())
+	for n := range 12 {
+		f.wg.Go(func() {
+			f.caller.Quick(t.Context(), caller.Quick{
+				Call: fmt.Sprint("long-", n), Credential: f.keys["quotes"], Service: "quotes", Deadline: 2 * deadline,
+				NonIdempotent: true, RunMS: 1500,
+			})
+		})
 	}
+	f.awaitEvents(12, func(e history.Event) bool {
+		return e.Kind == history.QuickStart && strings.HasPrefix(e.Call, "long-")
+	})
+	f.fleet.Add(others...)
+	victim.Kill()
+	f.replace(victim)
 	f.judge()
 }
 
+// The paused entry finds requests with a withdrawn key in its socket buffers
+// when it goes on with the configuration that it had.
+func TestPausedEntryRefusesWithdrawnKeyOnItsReturn(t *testing.T) {
+	f := start(t, false)
+	f.submit("batch", model.WorkBatch, 5)
+	withdrawn, err := f.operator.IssueKey("quotes")
+	require.NoError(t, err)
+	time.Sleep(warmUp)
+	paused := f.cluster.VMs()[0]
+	f.fleet.Remove(paused.URL())
+	paused.Entry.Pause()
+	require.NoError(t, f.operator.WithdrawKey(withdrawn))
+	time.Sleep(history.DefaultGrace + warmUp)
+	late := caller.New(caller.NewFleet(paused.URL()), f.recorder)
+	for n := range 20 {
+		f.wg.Go(func() {
+			late.Quick(t.Context(), caller.Quick{
+				Call: fmt.Sprint("withdrawn-", n), Credential: withdrawn, Service: "quotes", Deadline: deadline,
+			})
+		})
+	}
+	time.Sleep(warmUp)
+	paused.Entry.Resume()
+	f.judge(history.KeysOnly)
+}
+
 func TestMemberCutOffFromTheLogObeysWithdrawals(t *testing.T) {
 	f := start(t, true)
 	f.submit("batch", model.WorkBatch, 60)
@@ -85,7 +139,7 @@
 	time.Sleep(history.DefaultGrace + warmUp)
 	for n := range 20 {
 		f.caller.Quick(t.Context(), caller.Quick{
-			Call: "withdrawn-" + string(rune('a'+n)), Credential: withdrawn, Service: "quotes", Deadline: deadline,
+			Call: fmt.Sprint("withdrawn-", n), Credential: withdrawn, Service: "quotes", Deadline: deadline,
 		})
 	}
 	cut.LogRelay.Set(proctest.CutNone)
--- a/test/process/fixture_test.go
+++ b/test/process/fixture_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,6 +22,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/history"
 	"github.com/balsamhitch/balsamhitch/internal/proctest"
 	"github.com/balsamhitch/balsamhitch/internal/standin/cell"
+	"github.com/balsamhitch/balsamhitch/internal/standin/fault"
 	"github.com/balsamhitch/balsamhitch/internal/standin/worker"
 )
 
@@ -71,10 +73,13 @@
 max_queued = 1000
 upper_limit = { processors = 64, memory = "256GiB" }
 `
-	deadline    = 5 * time.Second
-	sendEvery   = 20 * time.Millisecond
-	jobsEndIn   = time.Minute
-	outputLines = 25
+	targets   = 6 // workers, and as many runners
+	deadline  = 5 * time.Second
+	sendEvery = 20 * time.Millisecond
+	// startsWithin bounds the time until the first answer on a busy machine.
+	startsWithin = time.Minute
+	jobsEndIn    = time.Minute
+	outputLines  = 25
 )
 
 // fixture is a running cell under load.
@@ -95,8 +100,8 @@
 func start(t *testing.T, relayed bool) *fixture {
 	t.Helper()
 	config := cell.DefaultConfig()
-	config.Workers, config.WorkersPerRack = 6, 2
-	config.Services[0].Runners, config.RunnersPerGroup = 6, 2
+	config.Workers, config.WorkersPerRack = targets, 2
+	config.Services[0].Runners, config.RunnersPerGroup = targets, 2
 	dir := t.TempDir()
 	cluster, err := proctest.StartCluster(proctest.ClusterOptions{
 		Binaries: binaries, Dir: dir, EntryVMs: 3, Cell: config, Relayed: relayed,
@@ -119,6 +124,10 @@
 		require.NoError(t, err)
 	}
 	f.load()
+	serving := proctest.Eventually(startsWithin, func() bool {
+		return count(f.recorder.Since(0), func(e history.Event) bool { return e.Outcome == model.OutcomeDone }) > 0
+	})
+	require.True(t, serving, "no quote is answered")
 	return f
 }
 
@@ -171,6 +180,26 @@
 	})
 }
 
+// eachTarget sets the faults of every worker and runner.
+func (f *fixture) eachTarget(faults fault.Faults) {
+	f.t.Helper()
+	for n := range targets {
+		for _, vm := range []string{"worker-", "quotes-runner-"} {
+			require.NoError(f.t, f.cluster.Platform.SetFaults(vm+strconv.Itoa(n), faults))
+		}
+	}
+}
+
+// awaitEvents waits until the stand-ins have recorded as many such events.
+func (f *fixture) awaitEvents(many int, pick func(history.Event) bool) {
+	f.t.Helper()
+	got := proctest.Eventually(deadline, func() bool {
+		events, err := f.cluster.Platform.History()
+		return err == nil && count(events, pick) >= many
+	})
+	require.True(f.t, got, "the work did not begin")
+}
+
 // ownerOf waits until the team has an owner and returns the owner's VM.
 func (f *fixture) ownerOf(team model.TeamID) *proctest.EntryVM {
 	f.t.Helper()
