Make the water-filling test see a wrong freeze

Change: limits beyond the total in the example and in the property. Conclusion: the example and the guard removed in a scratch copy now disagree; team limits and weights were tried again and are still caught.

--- a/internal/core/fairness/fairness_test.go
+++ b/internal/core/fairness/fairness_test.go
@@ -26,10 +26,10 @@
 				MemoryMiB: rapid.Int64Range(1, 20).Draw(t, "memory") * 100 * rapid.Int64Range(0, 1).Draw(t, "any"),
 			},
 			Tasks: float64(rapid.IntRange(0, 300).Draw(t, "tasks")),
-			Limit: total.Scale(1),
+			Limit: total.Scale(2),
 		}
 		if rapid.Bool().Draw(t, "limited") {
-			demands[i].Limit.MilliCPU /= 4
+			demands[i].Limit.MilliCPU /= 8
 		}
 	}
 	return demands
@@ -88,8 +88,8 @@
 func TestWaterFillGoesOnWithTeamsThatNeedNothingScarce(t *testing.T) {
 	all := model.Resources{MilliCPU: 100, MemoryMiB: 100}
 	tasks := WaterFill(all, []Demand{
-		{Weight: 4, Task: model.Resources{MilliCPU: 1, MemoryMiB: 10}, Tasks: 100, Limit: all},
-		{Weight: 1, Task: model.Resources{MilliCPU: 10}, Tasks: 100, Limit: all},
+		{Weight: 4, Task: model.Resources{MilliCPU: 1, MemoryMiB: 10}, Tasks: 100, Limit: all.Scale(10)},
+		{Weight: 1, Task: model.Resources{MilliCPU: 10}, Tasks: 100, Limit: all.Scale(10)},
 	})
 	assert.InDeltaSlice(t, []float64{10, 9}, tasks, 1e-6)
 }
