--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,12 @@
 bench: build ## Measure quick requests and idle programs on loopback
 	bin/balsam-bench
 
+capacity: ## Measure the slopes of docs/CAPACITY.md and print its table
+	$(GO) run ./cmd/balsam-capacity
+
+fuzz: ## Property tests with fresh seeds and many runs, then the fuzz targets
+	@.ci/fuzz
+
 vet: ## Run go vet
 	$(GO) vet ./...
 
