Fix the seed of every package with property tests

Ruled out: a flag in the Makefile; packages without rapid would refuse it. Change: each such package runs through proptest.Main.

--- /dev/null
+++ b/internal/core/rack/seed_test.go
@@ -0,0 +1,11 @@
+package rack
+
+import (
+	"testing"
+
+	"github.com/balsamhitch/balsamhitch/internal/proptest"
+)
+
+func TestMain(m *testing.M) {
+	proptest.Main(m, proptest.Settings{})
+}
