Send a yamux header and its body in one system call

Cause: yamux writes the header of a frame and its body one after the other. Each of them is a system call, a packet and often a wake-up of the receiver.

Ruled out: a buffered connection with a timer (it would delay pings and the last frame); a patched yamux.

Change: the connection below a session holds back the header of a data frame with a body until the body comes, and writes both with writev. Frames without a body go at once.

Seen failing first: pings held back; a body that looks like a header.

--- a/internal/adapter/peer/counters.go
+++ b/internal/adapter/peer/counters.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"net"
-
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -26,21 +24,3 @@
 		dialErrors:       set.GetOrCreateCounter("balsamhitch_peer_dial_errors_total"),
 	}
 }
-
-// countedConn counts the bytes of a connection.
-type countedConn struct {
-	net.Conn
-	counters *counters
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.counters.bytesReceived.Add(n)
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.counters.bytesSent.Add(n)
-	return n, err
-}
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -119,7 +119,7 @@
 		if err != nil {
 			return // the listener is closed
 		}
-		session, err := yamux.Server(countedConn{conn, s.counters}, yamuxConfig())
+		session, err := yamux.Server(newMuxConn(conn, s.counters), yamuxConfig())
 		if err != nil {
 			_ = conn.Close()
 			continue
--- a/internal/adapter/peer/session.go
+++ b/internal/adapter/peer/session.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	mux, err := yamux.Client(countedConn{conn, client.counters}, yamuxConfig())
+	mux, err := yamux.Client(newMuxConn(conn, client.counters), yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, Error.Wrap(err)
