--- a/internal/app/sched/sched.go
+++ b/internal/app/sched/sched.go
@@ -77,6 +77,8 @@
 	peer      port.Peer
 	member    *membership.Member
 	config    *configwatch.Watcher
+	roster    configwatch.Roster
+	address   string
 	journal   *journal.Journal
 	manager   *host.Manager
 	vms       *vmCache
@@ -91,13 +93,14 @@
 	}
 	s := &Sched{
 		id:        options.ID,
+		address:   options.Address,
 		clock:     options.Clock,
 		logger:    options.Logger.WithField("part", "sched"),
 		pool:      pool,
-		journal:   journal.New(options.Log, options.Logger),
 		vms:       &vmCache{list: options.VMList, logger: options.Logger.WithField("part", "vms")},
 		summaries: newSummaryCache(options.Clock),
 	}
+	s.journal = journal.New(options.Log, func() int { return len(s.member.Members()) }, options.Logger)
 	s.config = configwatch.New(configwatch.Options{
 		Log:             options.Log,
 		Clock:           options.Clock,
