Cut the paused entry off from the log in its test

With the check of the configuration's age removed, the test stayed green: the entry found the withdrawal in the buffer of its long poll before it took up the requests. Its way to the log is now cut while it is paused.

Not shown: with leases that never lapse in MayAct, Paused stays green, because the workers' epoch check refuses the starts.

--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -100,9 +100,10 @@
 }
 
 // The paused entry finds requests with a withdrawn key in its socket buffers
-// when it goes on with the configuration that it had.
+// when it goes on with the configuration that it had. Its way to the log is
+// cut, since it would else find the withdrawal in its buffers too.
 func TestPausedEntryRefusesWithdrawnKeyOnItsReturn(t *testing.T) {
-	f := start(t, false)
+	f := start(t, true)
 	f.submit("batch", model.WorkBatch, 5)
 	withdrawn, err := f.operator.IssueKey("quotes")
 	require.NoError(t, err)
@@ -110,6 +111,8 @@
 	paused := f.cluster.VMs()[0]
 	f.fleet.Remove(paused.URL())
 	paused.Entry.Pause()
+	paused.LogRelay.Set(proctest.CutBoth)
+	f.operator.NoWait = true // the scheduler beside it is cut off too
 	require.NoError(t, f.operator.WithdrawKey(withdrawn))
 	time.Sleep(history.DefaultGrace + warmUp)
 	late := caller.New(caller.NewFleet(paused.URL()), f.recorder)
@@ -122,6 +125,8 @@
 	}
 	time.Sleep(warmUp)
 	paused.Entry.Resume()
+	time.Sleep(warmUp)
+	paused.LogRelay.Set(proctest.CutNone)
 	f.judge(history.KeysOnly)
 }
 
