--- a/internal/app/entrymain/main.go
+++ b/internal/app/entrymain/main.go
@@ -20,7 +20,6 @@
 	"github.com/balsamhitch/balsamhitch/internal/app/membership"
 	"github.com/balsamhitch/balsamhitch/internal/app/probe"
 	"github.com/balsamhitch/balsamhitch/internal/app/vmwatch"
-	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
 
 const (
@@ -54,10 +53,11 @@
 		Log:      log,
 		Clock:    clock,
 		Peer:     client,
-		Members:  members{observer: observer, vms: vms}.addresses,
+		Members:  (&members{observer: observer, vms: vms}).addresses,
 		FreshFor: options.Config.FreshFor,
 		Logger:   logger,
 	})
+	watcher.Register(metrics.GetDefaultSet())
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	failed := make(chan error, 4)
@@ -68,7 +68,7 @@
 	server, err := entry.Start(entry.Options{
 		Settings:  options,
 		Directory: observer,
-		Keys:      keys{watcher},
+		Keys:      func() entry.Keys { return watcher.View() },
 		Peer:      client,
 		Clock:     clock,
 		Ready:     func() bool { return observer.Ready() && watcher.Fresh() },
@@ -108,39 +108,22 @@
 	return err
 }
 
-var _ entry.Keys = keys{}
-
-// keys is the configuration as the entry needs it.
-type keys struct {
-	watcher *configwatch.Watcher
-}
-
-func (k keys) Fresh() bool { return k.watcher.Fresh() }
-
-func (k keys) TeamOfKey(presented string) (model.TeamID, bool) {
-	return k.watcher.Snapshot().TeamOfKey(presented)
-}
-
-func (k keys) Template(team model.TeamID) (model.WorkspaceTemplate, bool) {
-	return k.watcher.Snapshot().Template(team)
-}
+var _ entry.Keys = configwatch.View{}
 
 // members tells the configuration watcher whom it may ask.
 type members struct {
 	observer *membership.Observer
 	vms      *vmwatch.Cache
+	roster   configwatch.Roster
 }
 
-// addresses returns the peer addresses of all members whose VM is not known to
-// be gone.
-func (m members) addresses() (addresses []string, known bool) {
-	if !m.observer.Ready() {
-		return nil, false
-	}
+// addresses returns the peer addresses of all that may read the log. It
+// reports false while the members are not known.
+func (m *members) addresses() (addresses []string, known bool) {
+	var view []string
 	for _, info := range m.observer.Members() {
-		if !m.vms.Gone(info.Address) {
-			addresses = append(addresses, info.Address)
-		}
+		view = append(view, info.Address)
 	}
-	return addresses, true
+	vms, listed := m.vms.VMs()
+	return m.roster.Others("", view, vms), listed && m.observer.Ready()
 }
--- a/internal/app/membership/member_test.go
+++ b/internal/app/membership/member_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/ownership"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
 	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
 )
 
@@ -54,6 +55,27 @@
 	})
 }
 
+func TestJoinMovesOnlyTheNewMembersShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 28)
+		defer c.stop()
+		c.startMany(4)
+		c.run(20 * time.Second)
+		before := c.epochs()
+		joiner := c.start("10.0.0.5:7000")
+		c.run(20 * time.Second)
+		moved := 0
+		for p, e := range c.epochs() {
+			if before[p] != e {
+				moved++
+			}
+		}
+		assert.Len(t, joiner.acts.Load().held, moved, "what moved went to the new member")
+		assert.Equal(t, 5, c.loadsOf(model.KindRack)[joiner.opt.ID], "28 racks among five")
+		assert.LessOrEqual(t, moved, 7, "and at most one of each other kind")
+	})
+}
+
 func TestOrderlyExitLosesNoServiceTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 20)
@@ -135,6 +157,42 @@
 	})
 }
 
+func TestReusedMemberIDContinuesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		defer c.stop()
+		c.startMany(1)
+		c.run(5 * time.Second)
+		first := c.nodes[0]
+		c.kill(first)
+		again := c.startAs(first.opt.ID, first.address)
+		c.run(DefaultLease)
+		assert.Empty(t, c.actors(), "promises of the ended process are not known")
+		reply := again.promise(&peerpb.PromiseRequest{Member: "x", Receiver: string(first.opt.ID),
+			TermMs: DefaultPromiseTerm.Milliseconds()})
+		assert.False(t, reply.GetGranted())
+		c.settle(time.Second)
+	})
+}
+
+func TestLogWithoutTruncationErrorsIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		defer c.stop()
+		c.startMany(3)
+		c.run(5 * time.Second)
+		frozen := c.nodes[2]
+		frozen.gate.Close()
+		c.run(30 * time.Second)
+		c.log.Truncate(ownership.Stream, c.log.Next(ownership.Stream)-100)
+		c.log.SkipTruncated()
+		frozen.gate.Open()
+		c.run(5 * time.Second)
+		c.fail(c.served())
+		assert.Positive(t, c.loadsOf(model.KindRack)[frozen.opt.ID])
+	})
+}
+
 func TestJoinerReadsACheckpointWhenTheLogForgot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 4)
@@ -149,6 +207,43 @@
 	})
 }
 
+func TestObserverStartsWithTheNewestCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const junk = 3 * startWindow
+		c := newCluster(t, 4)
+		defer c.stop()
+		c.startMany(3)
+		c.run(5 * time.Second)
+		for range junk {
+			_, _ = c.log.Append(t.Context(), ownership.Stream, [][]byte{{0xff}})
+		}
+		c.run(5 * time.Second)
+		o := c.observe(time.Second)
+		for _, p := range c.want() {
+			wantAddress, wantEpoch, _ := c.nodes[0].Owner(p)
+			address, epoch, ok := o.Owner(p)
+			assert.True(t, ok, p)
+			assert.Equal(t, wantAddress, address, p)
+			assert.Equal(t, wantEpoch, epoch, p)
+		}
+		assert.Len(t, o.Members(), 3)
+		assert.Less(t, o.state().Skipped(), uint64(junk), "it has not read everything")
+	})
+}
+
+func TestObserverReadsAllWhenTheTailHasNoCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		c.startMany(1)
+		c.run(5 * time.Second)
+		c.stop()
+		for range 2 * startWindow {
+			_, _ = c.log.Append(t.Context(), ownership.Stream, [][]byte{{0xff}})
+		}
+		assert.Len(t, c.observe(time.Second).Members(), 1)
+	})
+}
+
 func TestFrozenMemberIsRefusedAfterItWakes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 6)
--- a/internal/app/membership/outage_test.go
+++ b/internal/app/membership/outage_test.go
@@ -15,7 +15,7 @@
 
 // outage starts members and takes the log away from all but spared ones.
 func outage(t *testing.T, members int, spared ...int) *cluster {
-	c := newCluster(t, 6)
+	c := newCluster(t, 4)
 	c.startMany(members)
 	c.run(5 * time.Second)
 	c.fail(c.served())
@@ -51,6 +51,23 @@
 	})
 }
 
+func TestSlowLogIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		defer c.stop()
+		c.startMany(4)
+		c.run(5 * time.Second)
+		for _, n := range c.nodes {
+			n.log.SetFaults(porttest.Faults{AppendDelay: time.Second, ReadDelay: time.Second})
+		}
+		c.runServed(time.Minute)
+		for _, n := range c.nodes {
+			n.log.SetFaults(healthy)
+		}
+		c.runServed(10 * time.Second)
+	})
+}
+
 func TestOneMemberCutOffFromTheLogGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := outage(t, 4, 0, 1, 2)
--- a/internal/app/teamowner/view.go
+++ b/internal/app/teamowner/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamhitch/balsamhitch/internal/core/candidate"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/team"
 	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
 )
@@ -113,7 +114,7 @@
 	return model.ServiceID(name)
 }
 
-// pickTargets returns the less loaded of two random target groups of the
+// pickTargets returns the less loaded of a few random target groups of the
 // service and counts the request against it.
 func (v *capacityView) pickTargets(service model.ServiceID, avoid []string) (*place, bool) {
 	places := v.targets[service]
@@ -123,7 +124,12 @@
 	if len(places) == 0 {
 		return nil, false
 	}
-	chosen := lessLoaded(places[rand.IntN(len(places))], places[rand.IntN(len(places))])
+	first := rand.IntN(len(places))
+	chosen := places[first]
+	// Two different groups at first; more only while none has a free slot.
+	for i := 1; i < len(places) && (i < 2 || chosen.free.Slots <= 0); i++ {
+		chosen = lessLoaded(chosen, places[(first+i)%len(places)])
+	}
 	if chosen.free.Slots > 0 {
 		chosen.free.Slots--
 	} else {
@@ -146,8 +152,10 @@
 	return kept
 }
 
+// lessLoaded returns the group with more free slots, or with fewer requests
+// waiting if neither has any.
 func lessLoaded(a, b *place) *place {
-	if a.waiting != b.waiting {
+	if max(a.free.Slots, b.free.Slots) <= 0 && a.waiting != b.waiting {
 		if a.waiting < b.waiting {
 			return a
 		}
@@ -176,6 +184,21 @@
 	return rack, room, true
 }
 
+// moveAfter is the number of refusals after which a task is offered to another
+// full rack.
+const moveAfter = 16
+
+// stay returns the full rack that a task without room is offered to: the one
+// that refused it last, which may hold a worker for it, and another now and
+// then.
+func (v *capacityView) stay(picked *place, candidate team.Candidate) *place {
+	last := v.racks[candidate.RefusedBy]
+	if last == nil || candidate.Refusals%moveAfter == 0 {
+		return picked
+	}
+	return last
+}
+
 // canEverFit reports whether any rack has a VM that an empty fleet would run a
 // task of the job on. It is true while no rack is known.
 func (v *capacityView) canEverFit(job model.Job) bool {
@@ -200,6 +223,17 @@
 	return false
 }
 
+// allowsAny reports whether one of the rack's failure domains in service suits
+// the job.
+func (p *place) allowsAny(job model.Job, out func(model.FailureDomain) bool) bool {
+	for _, domain := range p.domains {
+		if job.AllowsDomain(domain) && !out(domain) {
+			return true
+		}
+	}
+	return false
+}
+
 // update replaces what is known of a rack by a newer summary.
 func (v *capacityView) update(summary *peerpb.PartitionSummary, settled settledEpoch) {
 	if p := newPlace(summary, settled); p != nil {
--- a/internal/core/rack/gang.go
+++ b/internal/core/rack/gang.go
@@ -75,6 +75,7 @@
 		d.Retry = r.policy.RetryMax
 		if d.Reason == ReasonNoCapacity {
 			d.Retry = r.noteRefused(&d.Offer, true, now)
+			d.Held = r.holds[d.Offer.Task] != nil
 		}
 	}
 }
@@ -122,9 +123,11 @@
 	for _, e := range r.gangs {
 		if now >= e.Expiry {
 			expired = append(expired, e.Reservation)
-			r.release(e)
 		}
 	}
 	sortByPermit(expired)
+	for i := range expired {
+		r.release(r.entries[expired[i].Permit.ID])
+	}
 	return expired
 }
--- a/internal/core/rack/hold.go
+++ b/internal/core/rack/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -46,7 +47,8 @@
 	}
 	seen.last = now
 	r.refused[o.Task] = seen
-	if now-seen.first < r.policy.HoldAfter || !r.mayHold(o, gang) {
+	waited := max(now-seen.first, o.Refused)
+	if waited < r.policy.HoldAfter || !r.mayHold(o, gang) {
 		return r.retryDelay(now)
 	}
 	w, at := r.soonest(o, now)
@@ -75,14 +77,14 @@
 func (r *Rack) mayHold(o *Offer, gang bool) bool {
 	singles, gangs := 0, 0
 	for _, h := range r.holds {
-		if !h.gang {
+		switch {
+		case !h.gang:
 			singles++
-			continue
-		}
-		if h.job != o.Job {
-			return !gang && r.underShare(singles, r.policy.HoldShare)
+		case gang && h.job != o.Job:
+			return false
+		default:
+			gangs++
 		}
-		gangs++
 	}
 	if gang {
 		return r.underShare(gangs, r.policy.GangHoldShare)
@@ -124,16 +126,20 @@
 		delete(r.refused, task)
 		r.dropHold(r.holds[task])
 	}
-	r.withdrawClaims(tasks)
 }
 
 // expireHolds drops the holds of tasks that are no longer offered.
 func (r *Rack) expireHolds(now time.Duration) {
+	var expired []*hold
 	for _, h := range r.holds {
 		if now >= h.expires {
-			r.dropHold(h)
+			expired = append(expired, h)
 		}
 	}
+	slices.SortFunc(expired, func(a, b *hold) int { return strings.Compare(string(a.task), string(b.task)) })
+	for _, h := range expired {
+		r.dropHold(h)
+	}
 }
 
 // soonest returns the worker that is expected to have room for the offer
