Restore two checks that were lost in moves

The templates' fuzz target no longer checked that success yields templates, and the test of a stopped process checked only the first second after it wakes. Both are back, the first stricter: templates are returned if and only if there is no finding.

--- a/internal/adapter/settings/fuzz_test.go
+++ b/internal/adapter/settings/fuzz_test.go
@@ -26,8 +26,9 @@
 	f.Add([]byte("[[a.b]]\n[a.b.c]\nd.e = [{f = 1}, [{g = 2}]]"))
 	f.Add([]byte("template = [1, {team = 3}]"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		_, err := ParseTemplates("fuzz.toml", data)
+		templates, err := ParseTemplates("fuzz.toml", data)
 		checkFindings(t, err)
+		assert.Equal(t, err == nil, len(templates) > 0)
 	})
 }
 
--- a/internal/app/configwatch/watcher_test.go
+++ b/internal/app/configwatch/watcher_test.go
@@ -129,6 +129,7 @@
 			require.False(t, p.takes(key))
 			time.Sleep(10 * time.Millisecond)
 		}
+		checkWithdrawn(t, c, key)
 	})
 }
 
