Never adopt permits that have ended; judge fit by the VM list

Cause: random faults showed accepted jobs failed as too large while their failure domain was out or its workers silent, and permits counted for good: a usage answer written before a release adopted the permit again, and a rack's unacknowledged ends were adopted like running tasks. Ruled out: releases that got lost; they arrived before the adoption. Change: fit is judged by all listed workers and given up after 120 looks; the ledger remembers releases while a query is in flight; ends are listed as ended and use nothing; an attempt that this tenure saw end is not adopted.

--- a/internal/app/jobtest/cell_test.go
+++ b/internal/app/jobtest/cell_test.go
@@ -181,9 +181,16 @@
 	return c.peers.Client("caller", nil).Call(ctx, address, request)
 }
 
-// submit hands in a job and returns its id.
+// submit hands in a job, which must be accepted, and returns its id.
 func (c *cell) submit(job model.Job) model.JobID {
 	c.t.Helper()
+	id, ok := c.trySubmit(job)
+	require.True(c.t, ok, "the job was not accepted")
+	return id
+}
+
+// trySubmit hands in a job and tells whether it was accepted for certain.
+func (c *cell) trySubmit(job model.Job) (model.JobID, bool) {
 	c.calls++
 	call := fmt.Sprint("call-", c.calls)
 	job.ID = model.JobID(ulid.Make().String())
@@ -193,15 +200,17 @@
 	response, err := c.ask(model.TeamPartition(job.Team), &peerpb.Request{
 		Body: &peerpb.Request_SubmitJob{SubmitJob: &peerpb.SubmitJob{Job: convert.JobPB(job)}},
 	})
-	require.NoError(c.t, err)
 	reply := response.GetSubmitJob()
-	require.Nil(c.t, reply.GetRefusal(), "%v", reply.GetRefusal())
+	if err != nil || reply == nil || reply.GetRefusal() != nil {
+		return "", false
+	}
+	id := model.JobID(reply.GetJobId())
 	c.history.Add(history.Event{
-		Kind: history.Accepted, Call: call, Job: model.JobID(reply.GetJobId()), Team: job.Team,
+		Kind: history.Accepted, Call: call, Job: id, Team: job.Team,
 		Tasks: job.Tasks, NonIdempotent: job.NonIdempotent,
 	})
-	c.teams[model.JobID(reply.GetJobId())] = job.Team
-	return model.JobID(reply.GetJobId())
+	c.teams[id] = job.Team
+	return id, true
 }
 
 func (c *cell) status(id model.JobID) *peerpb.JobStatus {
--- /dev/null
+++ b/internal/app/jobtest/faults_test.go
@@ -0,0 +1,179 @@
+package jobtest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/team"
+	"github.com/balsamhitch/balsamhitch/internal/history"
+	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
+)
+
+const (
+	faultSeeds  = 40
+	faultEvents = 25
+	// takeover is how long a killed holder's partition stays without one.
+	takeover = 2 * time.Second
+	// settleTime is how long after the last fault all jobs must have ended.
+	settleTime = 10 * time.Minute
+)
+
+// chaos plays faults on a cell in an order that its seed decides.
+type chaos struct {
+	*cell
+	random *rand.Rand
+	jobs   []model.JobID
+	dead   map[model.PartitionID]time.Time
+}
+
+// step plays one event.
+func (c *chaos) step() {
+	switch c.random.IntN(10) {
+	case 0, 1:
+		c.killOne()
+	case 2:
+		c.toggleSilent()
+	case 3:
+		c.mu.Lock()
+		c.loseNext = c.random.IntN(5)
+		c.mu.Unlock()
+	case 4:
+		c.logs.SetFaults(porttest.Faults{Down: c.random.IntN(2) == 0, LoseAnswers: c.random.IntN(2) == 0})
+	case 5:
+		c.logs.SetFaults(faultsNone)
+	case 6:
+		c.toggleDomain()
+	case 7:
+		c.restartWorker()
+	default:
+		c.addJob()
+	}
+	c.takeOver(takeover)
+	time.Sleep(time.Duration(c.random.IntN(1500)) * time.Millisecond)
+}
+
+func (c *chaos) addJob() {
+	job := batch(1+c.random.IntN(8), time.Duration(100+c.random.IntN(3000))*time.Millisecond)
+	job.NonIdempotent = c.random.IntN(3) == 0
+	if c.random.IntN(4) == 0 {
+		job.Kind = model.WorkGang
+	}
+	if id, ok := c.trySubmit(job); ok {
+		c.jobs = append(c.jobs, id)
+	}
+}
+
+func (c *chaos) killOne() {
+	ids := []model.PartitionID{rack0, rack1, teamPartition}
+	id := ids[c.random.IntN(len(ids))]
+	if _, gone := c.dead[id]; gone {
+		return
+	}
+	c.kill(id)
+	c.dead[id] = time.Now()
+}
+
+// takeOver gives partitions that have been without a holder for long enough to
+// new processes.
+func (c *chaos) takeOver(after time.Duration) {
+	for id, since := range c.dead {
+		if time.Since(since) >= after {
+			delete(c.dead, id)
+			c.take(id)
+		}
+	}
+}
+
+func (c *chaos) anyWorker() string {
+	return string(c.vms[c.random.IntN(len(c.vms))].ID)
+}
+
+func (c *chaos) toggleSilent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	address := c.anyWorker()
+	c.silent[address] = !c.silent[address]
+}
+
+func (c *chaos) restartWorker() {
+	address := c.anyWorker()
+	c.setGone(address, true)
+	c.setGone(address, false)
+}
+
+func (c *chaos) toggleDomain() {
+	domain := model.FailureDomain(fmt.Sprint("d", c.random.IntN(racks)))
+	c.mu.Lock()
+	out := !c.out[domain]
+	c.out[domain] = out
+	c.mu.Unlock()
+	kind := history.DomainIn
+	if out {
+		kind = history.DomainOut
+	}
+	c.history.Add(history.Event{Kind: kind, Domain: domain})
+}
+
+// heal ends all faults.
+func (c *chaos) heal() {
+	c.logs.SetFaults(faultsNone)
+	c.mu.Lock()
+	c.loseNext = 0
+	clear(c.silent)
+	c.mu.Unlock()
+	for domain := range c.out {
+		c.mu.Lock()
+		c.out[domain] = false
+		c.mu.Unlock()
+		c.history.Add(history.Event{Kind: history.DomainIn, Domain: domain})
+	}
+	c.takeOver(0)
+}
+
+// awaitEnds fails for every accepted job that has no end in time.
+func (c *chaos) awaitEnds() {
+	c.t.Helper()
+	deadline := time.Now().Add(settleTime)
+	for _, id := range c.jobs {
+		state := ""
+		for time.Now().Before(deadline) {
+			state = c.status(id).GetState()
+			if state == team.JobDone || state == team.JobUnknown || state == team.JobFailed {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if state != team.JobDone && state != team.JobUnknown {
+			c.t.Errorf("job %s ended as %q: %v", id, state, c.status(id))
+		}
+	}
+}
+
+// TestRandomFaults plays deaths of holders, silent and restarting workers, lost
+// answers, outages of the log and domains that leave and return, any of them
+// together or twice, and judges what the workers saw.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(faultSeeds) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &chaos{
+					cell:   newCell(t),
+					random: rand.New(rand.NewPCG(seed, seed)),
+					dead:   map[model.PartitionID]time.Time{},
+				}
+				defer c.stop()
+				time.Sleep(time.Second)
+				for range faultEvents {
+					c.step()
+				}
+				c.heal()
+				c.awaitEnds()
+				c.judge()
+			})
+		})
+	}
+}
--- a/internal/app/rackowner/reports.go
+++ b/internal/app/rackowner/reports.go
@@ -196,6 +196,7 @@
 			TaskId:  string(e.task),
 			JobId:   string(e.job),
 			Attempt: int32(e.attempt),
+			Ended:   true,
 		})
 	}
 	uncertain := o.unheardCapacity()
--- a/internal/app/teamowner/schedule.go
+++ b/internal/app/teamowner/schedule.go
@@ -51,11 +51,12 @@
 		if o.offered >= maxOutstanding {
 			break
 		}
-		if !o.view.canEverFit(candidate.Job) && candidate.Refusals >= neverFitsAfter {
-			o.state.Fail(candidate.Job.ID, "not run: no worker in the allowed failure domains is large enough for a task")
+		if !o.view.canEverFit(candidate.Job) {
+			o.state.Unfit(candidate.Job.ID, now)
 			o.signal(o.flush)
 			continue
 		}
+		o.state.Fits(candidate.Job.ID)
 		if candidate.Job.Kind == model.WorkGang {
 			gangs = append(gangs, o.planGang(candidate))
 			continue
@@ -65,10 +66,6 @@
 	return offers, gangs
 }
 
-// neverFitsAfter is the number of refusals after which a job that fits no
-// worker is given up.
-const neverFitsAfter = 8
-
 // planJob grants permits for as many tasks of a job as fit now.
 func (o *Owner) planJob(candidate team.Candidate, offers offerSet) {
 	now := o.env.Clock().Now()
--- a/internal/app/teamowner/settle.go
+++ b/internal/app/teamowner/settle.go
@@ -17,7 +17,8 @@
 // refresh takes over the newest template, view of capacity and holders, and
 // asks the partitions whose use is not certain.
 func (o *Owner) refresh(ctx context.Context) {
-	bounds := partitionBounds(o.env.VMs())
+	vms := o.env.VMs()
+	bounds := partitionBounds(vms)
 	racks := o.env.Summaries(model.KindRack)
 	targets := o.env.Summaries(model.KindTargets)
 	o.mu.Lock()
@@ -31,6 +32,7 @@
 		o.noticeHolder(id, bound)
 	}
 	o.view.refresh(racks, targets, ledger.Epoch)
+	o.view.setWorkers(vms)
 	o.state.SetTotal(o.view.total)
 	now := o.env.Clock().Now()
 	unsettled := ledger.Unsettled()
@@ -81,6 +83,7 @@
 		return
 	}
 	o.querying[id] = true
+	o.state.Ledger().BeginQuery()
 	err := o.call(func() {
 		reply := o.askUsage(ctx, id, address, floor)
 		o.mu.Lock()
@@ -89,9 +92,11 @@
 		if reply != nil && model.Epoch(reply.GetPartitionEpoch()) == epoch {
 			o.settle(id, epoch, floor, reply)
 		}
+		o.state.Ledger().EndQuery()
 	})
 	if err != nil {
 		delete(o.querying, id)
+		o.state.Ledger().EndQuery()
 	}
 }
 
@@ -125,12 +130,14 @@
 			Task:    model.TaskID(h.GetTaskId()),
 			Job:     model.JobID(h.GetJobId()),
 			Attempt: int(h.GetAttempt()),
+			Ended:   h.GetEnded(),
 		})
 	}
 	uncertain := convert.Resources(reply.GetUncertain())
 	ended := o.state.Ledger().Settle(id, epoch, floor, held, uncertain)
 	for _, entry := range held {
-		if entry.Task != "" {
+		_, used := o.state.Ledger().Lookup(entry.Permit.ID)
+		if entry.Task != "" && (used || entry.Ended) {
 			o.state.Adopt(entry.Task, entry.Attempt, entry.Permit.ID)
 		}
 	}
--- a/internal/app/teamowner/view.go
+++ b/internal/app/teamowner/view.go
@@ -29,6 +29,7 @@
 	racks   map[model.PartitionID]*place
 	picker  *candidate.View
 	targets map[model.ServiceID][]*place
+	shapes  []shape // distinct ones of all listed workers
 	total   model.Resources
 }
 
@@ -199,28 +200,38 @@
 	return last
 }
 
-// canEverFit reports whether any rack has a VM that an empty fleet would run a
-// task of the job on. It is true while no rack is known.
+// canEverFit reports whether any listed worker would run a task of the job if
+// it were empty and in service. It is true while no worker is listed.
 func (v *capacityView) canEverFit(job model.Job) bool {
-	if len(v.racks) == 0 {
+	if len(v.shapes) == 0 {
 		return true
 	}
-	for _, p := range v.racks {
-		if job.Size.Fits(p.largestVM) && p.allows(job) {
+	for _, s := range v.shapes {
+		if job.AllowsDomain(s.domain) && job.Size.Fits(s.capacity) {
 			return true
 		}
 	}
 	return false
 }
 
-// allows reports whether one of the rack's failure domains suits the job.
-func (p *place) allows(job model.Job) bool {
-	for _, domain := range p.domains {
-		if job.AllowsDomain(domain) {
-			return true
+// shape is a capacity that some worker of a failure domain has.
+type shape struct {
+	domain   model.FailureDomain
+	capacity model.Resources
+}
+
+// setWorkers takes over the VM list, whatever is out of service or silent.
+func (v *capacityView) setWorkers(vms []model.VM) {
+	v.shapes = v.shapes[:0]
+	for _, vm := range vms {
+		if vm.Role != model.RoleWorker {
+			continue
+		}
+		s := shape{domain: vm.FailureDomain, capacity: vm.Capacity}
+		if !slices.Contains(v.shapes, s) {
+			v.shapes = append(v.shapes, s)
 		}
 	}
-	return false
 }
 
 // allowsAny reports whether one of the rack's failure domains in service suits
--- a/internal/core/permit/ledger.go
+++ b/internal/core/permit/ledger.go
@@ -22,6 +22,9 @@
 	Task    model.TaskID  // empty for quick requests
 	Job     model.JobID
 	Attempt int
+	// Ended marks a listed attempt that no longer runs and whose end has yet to
+	// be acknowledged. It uses nothing.
+	Ended bool
 	// Adopted marks a permit that a former owner granted and a partition
 	// reported as held.
 	Adopted bool
@@ -49,6 +52,8 @@
 	used       model.Resources
 	entries    map[string]Entry
 	partitions map[model.PartitionID]*partitionState
+	queries    int             // in flight
+	released   map[string]bool // while queries are in flight
 }
 
 // NewLedger returns the ledger for the tenure that epoch names. Until every
@@ -60,6 +65,7 @@
 		epoch:      epoch,
 		entries:    map[string]Entry{},
 		partitions: map[model.PartitionID]*partitionState{},
+		released:   map[string]bool{},
 	}
 }
 
@@ -148,6 +154,9 @@
 // Release ends a permit. It returns its entry and false if the permit is not
 // known, as after a repeated release.
 func (l *Ledger) Release(id string) (Entry, bool) {
+	if l.queries > 0 {
+		l.released[id] = true
+	}
 	entry, ok := l.entries[id]
 	if !ok {
 		return Entry{}, false
@@ -188,6 +197,21 @@
 	return state.epoch, true
 }
 
+// BeginQuery notes that a partition is asked what it holds. Until the matching
+// EndQuery the ledger remembers which permits are released, because an answer
+// written before a release still lists the permit.
+func (l *Ledger) BeginQuery() {
+	l.queries++
+}
+
+// EndQuery notes that an answer has been settled or will not come.
+func (l *Ledger) EndQuery() {
+	l.queries--
+	if l.queries == 0 {
+		clear(l.released)
+	}
+}
+
 // Settle takes over what a partition holds for the team. Permits that the
 // ledger does not know are adopted. Uncertain is the most that VMs which the
 // partition has not heard from could hold besides.
@@ -319,7 +343,8 @@
 }
 
 func (l *Ledger) adopt(entry Entry) {
-	if _, ok := l.entries[entry.Permit.ID]; ok {
+	_, known := l.entries[entry.Permit.ID]
+	if known || entry.Ended || l.released[entry.Permit.ID] {
 		return
 	}
 	entry.Adopted = true
--- a/internal/core/permit/ledger_test.go
+++ b/internal/core/permit/ledger_test.go
@@ -120,7 +120,10 @@
 	epoch   model.Epoch
 	holders map[model.PartitionID]*holder
 	transit []model.Permit // granted and not yet delivered
-	now     time.Duration
+	replies map[model.PartitionID]*reply
+	// unreported are ended permits whose team has not heard so.
+	unreported []string
+	now        time.Duration
 }
 
 func (c *cell) used() int64 {
@@ -169,6 +172,8 @@
 		delete(c.holders[id].running, permitID)
 		if rapid.Bool().Draw(t, "report arrives") {
 			c.ledger.Release(permitID)
+		} else {
+			c.unreported = append(c.unreported, permitID)
 		}
 		return
 	}
@@ -192,32 +197,85 @@
 	c.ledger.Unsettle(id, slots(c.limit))
 }
 
+// reply is a partition's answer on its way to the team's owner.
+type reply struct {
+	epoch, teamEpoch model.Epoch
+	floor            uint64
+	held             []Entry
+	unheard          model.Resources
+}
+
 func (c *cell) queryAll(t *rapid.T) {
 	for id := range c.holders {
-		c.query(t, id)
+		c.ask(t, id)
+		c.answer(id)
 	}
 }
 
-func (c *cell) query(t *rapid.T, id model.PartitionID) {
-	h := c.holders[id]
+// ask lets the partition write its answer; answer delivers it later.
+func (c *cell) ask(t *rapid.T, id model.PartitionID) {
 	floor := uint64(0)
 	if rapid.Bool().Draw(t, "give up old permits") {
 		floor = c.ledger.OldestUnbound(c.now - 2*time.Second)
 	}
-	if h.fence.Raise(teamA, c.epoch, floor) != nil {
+	c.askFor(id, floor, func() bool { return rapid.Bool().Draw(t, "not heard yet") })
+}
+
+func (c *cell) askFor(id model.PartitionID, floor uint64, unheard func() bool) {
+	if c.replies[id] != nil {
+		return
+	}
+	h := c.holders[id]
+	r := &reply{epoch: h.epoch, teamEpoch: c.epoch, floor: floor}
+	c.ledger.BeginQuery()
+	c.replies[id] = r
+	if h.fence.Raise(teamA, c.epoch, r.floor) != nil {
+		r.epoch = 0
 		return
 	}
-	held := make([]Entry, 0, len(h.running))
-	unheard := model.Resources{}
 	for _, entry := range h.running {
-		if h.unheard && rapid.Bool().Draw(t, "not heard yet") {
-			unheard = slots(c.limit)
+		if h.unheard && unheard() {
+			r.unheard = slots(c.limit)
 			continue
 		}
-		held = append(held, entry)
+		r.held = append(r.held, entry)
+	}
+	h.unheard = h.unheard && !r.unheard.IsZero()
+}
+
+func (c *cell) answer(id model.PartitionID) {
+	r := c.replies[id]
+	delete(c.replies, id)
+	if r == nil || r.teamEpoch != c.epoch {
+		return
+	}
+	if r.epoch == c.holders[id].epoch {
+		c.ledger.Settle(id, r.epoch, r.floor, r.held, r.unheard)
+	}
+	c.ledger.EndQuery()
+}
+
+// checkSettled delivers and reports everything, asks as long as the ledger
+// wants to and requires that it then counts what runs, no more and no less.
+func (c *cell) checkSettled(t *rapid.T) {
+	c.deliverAll(t)
+	for id, h := range c.holders {
+		c.answer(id)
+		h.unheard = false
+	}
+	for _, id := range c.unreported {
+		c.ledger.Release(id)
+	}
+	c.now += time.Minute
+	for range 3 {
+		for _, id := range append(c.ledger.Unsettled(), c.ledger.PartitionsWithOlder(c.now)...) {
+			c.askFor(id, c.ledger.OldestUnbound(c.now), func() bool { return false })
+			c.answer(id)
+		}
+	}
+	if known := c.ledger.Known().Slots; known != c.used() {
+		t.Fatalf("%d slots run and %d are counted for good", c.used(), known)
 	}
-	h.unheard = h.unheard && !unheard.IsZero()
-	c.ledger.Settle(id, h.epoch, floor, held, unheard)
 }
 
 // TestNeverOverTheUpperLimit is the property behind the brief's fourth promise:
@@ -225,7 +283,7 @@
 // of owners, what runs stays within the upper limit.
 func TestNeverOverTheUpperLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := &cell{limit: 6, epoch: epoch1, holders: map[model.PartitionID]*holder{}}
+		c := &cell{limit: 6, epoch: epoch1, holders: map[model.PartitionID]*holder{}, replies: map[model.PartitionID]*reply{}}
 		for _, id := range []model.PartitionID{rackA, rackB} {
 			c.holders[id] = &holder{epoch: epoch1, fence: NewFence(), running: map[string]Entry{}}
 		}
@@ -238,7 +296,8 @@
 			"deliver":      func(t *rapid.T) { c.deliver(t) },
 			"deliver all":  func(t *rapid.T) { c.deliverAll(t) },
 			"end":          func(t *rapid.T) { c.end(t, pick()) },
-			"query":        func(t *rapid.T) { c.query(t, pick()) },
+			"ask":          func(t *rapid.T) { c.ask(t, pick()) },
+			"answer":       func(*rapid.T) { c.answer(pick()) },
 			"query all":    func(t *rapid.T) { c.queryAll(t) },
 			"team owner":   func(*rapid.T) { c.replaceTeamOwner() },
 			"partition":    func(*rapid.T) { c.replaceHolder(pick()) },
@@ -252,5 +311,6 @@
 				}
 			},
 		})
+		c.checkSettled(t)
 	})
 }
--- a/internal/core/team/job.go
+++ b/internal/core/team/job.go
@@ -45,6 +45,7 @@
 	notBefore time.Duration     // offers wait until then
 	refusals  int               // in a row, for lack of capacity
 	refusedBy model.PartitionID // the last rack without room
+	unfit     int               // looks in a row at which it fitted no listed VM
 	queued    bool              // in the ready queue
 	// restored marks a job of an earlier tenure, whose waiting tasks may run on
 	// a partition that has not reported yet.
--- a/internal/core/team/tasks.go
+++ b/internal/core/team/tasks.go
@@ -129,6 +129,34 @@
 	j.notBefore = now + min(delay, maxOfferDelay)
 }
 
+// maxUnfit is the number of looks in a row, at most half a second apart, after
+// which a job that fits no listed VM is given up. It outlasts a VM list that
+// lacks a rack for a while.
+const maxUnfit = 120
+
+// Unfit notes that the job fits no VM, allowed failure domains considered,
+// whatever else runs. It ends the job after a bounded number of looks and
+// delays the next look otherwise.
+func (s *State) Unfit(id model.JobID, now time.Duration) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	j.unfit++
+	if j.unfit >= maxUnfit {
+		s.Fail(id, "not run: no worker in the allowed failure domains is large enough for a task")
+		return
+	}
+	j.delay(now)
+}
+
+// Fits ends the count that Unfit keeps.
+func (s *State) Fits(id model.JobID) {
+	if j := s.jobs[id]; j != nil {
+		j.unfit = 0
+	}
+}
+
 // Delay postpones a job's next offer for lack of capacity.
 func (s *State) Delay(id model.JobID, now time.Duration) {
 	if j := s.jobs[id]; j != nil {
@@ -175,7 +203,9 @@
 	}
 }
 
-// Adopt takes over an attempt that a partition reported as running.
+// Adopt takes over an attempt that a partition reported as running or as ended
+// with its end still to come. An attempt that this tenure has seen end is
+// reported by an answer that was written before, and has no effect.
 func (s *State) Adopt(task model.TaskID, attempt int, permitID string) {
 	id, index, err := model.SplitTask(task)
 	j := s.jobs[id]
@@ -186,6 +216,9 @@
 	if t.state != TaskWaiting && t.state != TaskUnknown {
 		return
 	}
+	if attempt <= t.attempt {
+		return
+	}
 	if t.state == TaskWaiting {
 		j.dropWaiting(index)
 		s.waiting--
