Count ends that reach a new team owner before its racks have told

Cause: a new owner ignored the end of a restored task that it took for waiting, acknowledged it and then adopted the attempt from an older answer for good. Change: such an end adopts the attempt first. No seed broke a safety promise.

--- a/internal/core/team/state_test.go
+++ b/internal/core/team/state_test.go
@@ -95,6 +95,19 @@
 	assert.Equal(t, JobDone, view.State, "the rack reported the end of the intended task")
 }
 
+func TestEndOfAnEarlierTenuresAttemptCountsBeforeItsRackTells(t *testing.T) {
+	s := newState(10)
+	s.Restore(jobOf("j", 1))
+	task := model.NewTask("j", 0)
+	s.Ended(End{Permit: "former.1.1", Task: task, Attempt: 1, Done: true})
+	view, _ := s.Job("j")
+	assert.Equal(t, JobDone, view.State)
+	assert.NotEmpty(t, s.TakeRecords())
+	s.Adopt(task, 1, "former.1.1")
+	view, _ = s.Job("j")
+	assert.Equal(t, JobDone, view.State, "the answer that lists it was written before")
+}
+
 func TestIntentOfAnotherRequestAnswersUnknown(t *testing.T) {
 	s := newState(10)
 	s.AddIntent(&logpb.Intent{RequestId: "r1", IdempotencyKey: "k"}, 0)
--- a/internal/core/team/tasks.go
+++ b/internal/core/team/tasks.go
@@ -186,6 +186,11 @@
 		return
 	}
 	t := &j.tasks[index]
+	if t.state == TaskWaiting {
+		// An attempt of an earlier tenure may end before its rack has told of
+		// it. One that this tenure has seen end stays as it is.
+		s.Adopt(end.Task, end.Attempt, end.Permit)
+	}
 	if t.state != TaskOffered && t.state != TaskRunning && t.state != TaskUnknown {
 		return
 	}
