Add the users' cells at today's sizes for the stand-ins

A newcomer could start the stand-ins only at the demonstration's size. The examples now hold both users' platforms, 50 workers and 50 runners each, and a test reads them as balsam-standin does. The ready line leaves out services that a command does not run.

Run: stand-ins and examples with -race; each balsam-standin command by hand.

--- a/internal/standin/cell/cell.go
+++ b/internal/standin/cell/cell.go
@@ -32,9 +32,9 @@
 
 // URLs tells where the cell's services listen.
 type URLs struct {
-	Log   string `json:"log"`
-	VMs   string `json:"vms"`
-	Admin string `json:"admin"`
+	Log   string `json:"log,omitempty"`
+	VMs   string `json:"vms,omitempty"`
+	Admin string `json:"admin,omitempty"`
 }
 
 // Cell is a running platform. It is safe for concurrent use.
--- a/internal/standin/cell/cell_test.go
+++ b/internal/standin/cell/cell_test.go
@@ -211,6 +211,22 @@
 	assert.Contains(t, err.Error(), "wrokers_per_rack")
 }
 
+// The examples name every VM of today's cells once and spread them over the
+// failure domains.
+func TestExampleCellsHaveTodaysSizes(t *testing.T) {
+	for _, user := range []string{"guild", "vestfjord"} {
+		config, err := ReadConfig(filepath.Join("../../../examples", user, "cell.toml"))
+		require.NoError(t, err)
+		ids, domains := make(map[model.VMID]bool), make(map[model.FailureDomain]int)
+		for _, vm := range append(config.workerVMs(), config.runnerVMs()...) {
+			ids[vm.ID] = true
+			domains[vm.FailureDomain]++
+		}
+		assert.Len(t, ids, 100, user)
+		assert.Len(t, domains, 3, user)
+	}
+}
+
 func post(t *testing.T, url string, in any) {
 	t.Helper()
 	data, err := json.Marshal(in)
