Let owners return to the room that their own tasks left

Cause: Vestfjord's team of 8 GiB tasks stayed 3.6 % below its share. Change: View.Freed adds the room of an ended task before the rack's next summary tells, so that the next task of that size goes there.

--- a/internal/core/candidate/candidate.go
+++ b/internal/core/candidate/candidate.go
@@ -113,6 +113,22 @@
 	return f != nil && f.tightest(size) >= 0
 }
 
+// maxRoom bounds the room that a view remembers per rack.
+const maxRoom = 8
+
+// Freed adds the room of a task that ended on the rack, which its owner hears
+// of before the next summary: the next task of that size goes there.
+func (v *View) Freed(partition model.PartitionID, size model.Resources) {
+	f := v.racks[partition]
+	if f == nil || len(f.Room) >= maxRoom || f.tightest(size) >= 0 {
+		return
+	}
+	f.Room = append(f.Room, size)
+	for i := range f.places {
+		f.move(i)
+	}
+}
+
 // tightest returns the index of the room that the size fits best, or -1.
 func (r *Rack) tightest(size model.Resources) int {
 	best, least := -1, 0.0
--- a/internal/core/candidate/candidate_test.go
+++ b/internal/core/candidate/candidate_test.go
@@ -122,3 +122,14 @@
 	}
 	assert.Greater(t, len(picks), 10)
 }
+
+func TestOwnerReturnsToTheRoomItsTaskLeft(t *testing.T) {
+	v := uniform(1000, func(int) model.FailureDomain { return "a" })
+	half := model.Resources{MilliCPU: 500, MemoryMiB: 500}
+	v.Freed("rack/7", half)
+	assert.Equal(t, []model.PartitionID{"rack/7"}, v.Pick(Query{Size: half}, 1))
+	for range 100 {
+		v.Freed("rack/7", half)
+	}
+	assert.LessOrEqual(t, len(v.racks["rack/7"].Room), maxRoom)
+}
