--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -59,12 +59,9 @@
 	d.checkFreshFor(s.Config.FreshFor)
 	d.positive("config.checkpoint_every", s.Config.CheckpointEvery)
 	d.oneOf("policy.name", s.Policy.Name, PolicyWaiting, PolicyShare)
-	d.positiveInt("policy.candidates", int64(s.Policy.Candidates))
 	d.positiveInt("limits.max_message", int64(s.Limits.MaxMessage))
-	d.positiveInt("limits.max_answers", int64(s.Limits.MaxAnswers))
-	d.positiveInt("limits.max_answer_memory", int64(s.Limits.MaxAnswerMemory))
-	d.positive("limits.keep_answers", s.Limits.KeepAnswers)
 	d.positive("limits.drain_timeout", s.Limits.DrainTimeout)
+	d.positive("limits.quick_run", s.Limits.QuickRun)
 	d.checkLogging(s.Log)
 }
 
--- a/internal/app/configwatch/cell_test.go
+++ b/internal/app/configwatch/cell_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,11 +39,13 @@
 	address string
 	log     *porttest.MemClient
 	gate    *porttest.Gate
+	asked   atomic.Int64 // questions of other members
 }
 
 // Serve answers the peer calls of the process.
 func (p *proc) Serve(_ context.Context, request *peerpb.Request) *peerpb.Response {
 	p.gate.Wait()
+	p.asked.Add(1)
 	return &peerpb.Response{Body: &peerpb.Response_Config{Config: p.Answer(request.GetConfigQuery())}}
 }
 
@@ -136,9 +139,9 @@
 
 // takes reports whether the process takes the key now.
 func (p *proc) takes(key string) bool {
-	snapshot, fresh := p.Current()
-	_, ok := snapshot.TeamOfKey(key)
-	return ok && fresh
+	view := p.View()
+	_, ok := view.TeamOfKey(key)
+	return ok && view.Fresh()
 }
 
 // fails makes all log calls of the process fail.
--- a/internal/app/sched/sched.go
+++ b/internal/app/sched/sched.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
@@ -17,7 +18,10 @@
 	"github.com/balsamhitch/balsamhitch/internal/app/rackowner"
 	"github.com/balsamhitch/balsamhitch/internal/app/targets"
 	"github.com/balsamhitch/balsamhitch/internal/app/teamowner"
+	"github.com/balsamhitch/balsamhitch/internal/core/fairness"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/rack"
+	targetscore "github.com/balsamhitch/balsamhitch/internal/core/targets"
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
@@ -49,12 +53,19 @@
 	Logger  *logrus.Entry
 	// FreshFor is how long a configuration snapshot may be used after it was
 	// certainly the newest.
-	FreshFor  time.Duration
-	TaskLease time.Duration // of tasks on workers; zero for the default
+	FreshFor time.Duration
+	// CheckpointEvery is the time between checkpoints of the configuration.
+	CheckpointEvery time.Duration
+	TaskLease       time.Duration // of tasks on workers; zero for the default
+	// QuickRun is the longest that a runner works on a quick request.
+	QuickRun time.Duration
+	Policy   fairness.Policy
 	// Lease, RenewEvery and DriftMargin are those of partitions.
 	Lease       time.Duration
 	RenewEvery  time.Duration
 	DriftMargin time.Duration
+	// Metrics exports the state of the configuration; it may be nil.
+	Metrics *metrics.Set
 }
 
 // Sched is one balsam-sched process. It is safe for concurrent use.
@@ -66,6 +77,8 @@
 	peer      port.Peer
 	member    *membership.Member
 	config    *configwatch.Watcher
+	roster    configwatch.Roster
+	address   string
 	journal   *journal.Journal
 	manager   *host.Manager
 	vms       *vmCache
@@ -80,21 +93,26 @@
 	}
 	s := &Sched{
 		id:        options.ID,
+		address:   options.Address,
 		clock:     options.Clock,
 		logger:    options.Logger.WithField("part", "sched"),
 		pool:      pool,
-		journal:   journal.New(options.Log, options.Logger),
 		vms:       &vmCache{list: options.VMList, logger: options.Logger.WithField("part", "vms")},
 		summaries: newSummaryCache(options.Clock),
 	}
+	s.journal = journal.New(options.Log, func() int { return len(s.member.Members()) }, options.Logger)
 	s.config = configwatch.New(configwatch.Options{
-		Log:      options.Log,
-		Clock:    options.Clock,
-		Peer:     options.Peer,
-		Members:  s.others,
-		FreshFor: options.FreshFor,
-		Logger:   options.Logger,
+		Log:             options.Log,
+		Clock:           options.Clock,
+		Peer:            options.Peer,
+		Members:         s.others,
+		FreshFor:        options.FreshFor,
+		CheckpointEvery: options.CheckpointEvery,
+		Logger:          options.Logger,
 	})
+	if options.Metrics != nil {
+		s.config.Register(options.Metrics)
+	}
 	s.peer = &localPeer{Peer: options.Peer, address: options.Address, handler: s}
 	e := env{vmCache: s.vms, summaryCache: s.summaries, sched: s}
 	s.manager = host.NewManager(e, s.factories(options), options.Logger)
@@ -139,11 +157,16 @@
 				Worker: options.Worker,
 				Pool:   s.pool,
 				Lease:  options.TaskLease,
+				Policy: rack.Policy{Order: options.Policy},
 				Logger: options.Logger,
 			})
 		},
 		model.KindTargets: func(id model.PartitionID, epoch model.Epoch, e host.Env) host.Partition {
-			return targets.New(id, epoch, e, targets.Options{Runner: options.Runner, Logger: options.Logger})
+			return targets.New(id, epoch, e, targets.Options{
+				Runner: options.Runner,
+				Core:   targetscore.Options{Policy: options.Policy, Settle: options.QuickRun},
+				Logger: options.Logger,
+			})
 		},
 	}
 }
--- a/test/process/fixture_test.go
+++ b/test/process/fixture_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,6 +22,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/history"
 	"github.com/balsamhitch/balsamhitch/internal/proctest"
 	"github.com/balsamhitch/balsamhitch/internal/standin/cell"
+	"github.com/balsamhitch/balsamhitch/internal/standin/fault"
 	"github.com/balsamhitch/balsamhitch/internal/standin/worker"
 )
 
@@ -71,10 +73,13 @@
 max_queued = 1000
 upper_limit = { processors = 64, memory = "256GiB" }
 `
-	deadline    = 5 * time.Second
-	sendEvery   = 20 * time.Millisecond
-	jobsEndIn   = time.Minute
-	outputLines = 25
+	targets   = 6 // workers, and as many runners
+	deadline  = 5 * time.Second
+	sendEvery = 20 * time.Millisecond
+	// startsWithin bounds the time until the first answer on a busy machine.
+	startsWithin = time.Minute
+	jobsEndIn    = time.Minute
+	outputLines  = 25
 )
 
 // fixture is a running cell under load.
@@ -95,8 +100,8 @@
 func start(t *testing.T, relayed bool) *fixture {
 	t.Helper()
 	config := cell.DefaultConfig()
-	config.Workers, config.WorkersPerRack = 6, 2
-	config.Services[0].Runners, config.RunnersPerGroup = 6, 2
+	config.Workers, config.WorkersPerRack = targets, 2
+	config.Services[0].Runners, config.RunnersPerGroup = targets, 2
 	dir := t.TempDir()
 	cluster, err := proctest.StartCluster(proctest.ClusterOptions{
 		Binaries: binaries, Dir: dir, EntryVMs: 3, Cell: config, Relayed: relayed,
@@ -119,6 +124,10 @@
 		require.NoError(t, err)
 	}
 	f.load()
+	serving := proctest.Eventually(startsWithin, func() bool {
+		return count(f.recorder.Since(0), func(e history.Event) bool { return e.Outcome == model.OutcomeDone }) > 0
+	})
+	require.True(t, serving, "no quote is answered")
 	return f
 }
 
@@ -171,6 +180,39 @@
 	})
 }
 
+// eachTarget sets the faults of every worker and runner.
+func (f *fixture) eachTarget(faults fault.Faults) {
+	f.t.Helper()
+	for n := range targets {
+		for _, vm := range []string{"worker-", "quotes-runner-"} {
+			require.NoError(f.t, f.cluster.Platform.SetFaults(vm+strconv.Itoa(n), faults))
+		}
+	}
+}
+
+// awaitEvents waits until the stand-ins have recorded as many such events.
+func (f *fixture) awaitEvents(many int, pick func(history.Event) bool) {
+	f.t.Helper()
+	got := proctest.Eventually(deadline, func() bool {
+		events, err := f.cluster.Platform.History()
+		return err == nil && count(events, pick) >= many
+	})
+	require.True(f.t, got, "the work did not begin")
+}
+
+// ownerOf waits until the team has an owner and returns the owner's VM.
+func (f *fixture) ownerOf(team model.TeamID) *proctest.EntryVM {
+	f.t.Helper()
+	var vm *proctest.EntryVM
+	var err error
+	owned := proctest.Eventually(deadline, func() bool {
+		vm, err = f.cluster.TeamOwner(team)
+		return err == nil
+	})
+	require.True(f.t, owned, "%v", err)
+	return vm
+}
+
 // replace starts a VM in the place of another one and waits until it serves.
 func (f *fixture) replace(vm *proctest.EntryVM) {
 	f.t.Helper()
@@ -227,23 +269,23 @@
 	sent, done := quotes(history.Sent, ""), quotes(history.Answered, model.OutcomeDone)
 	var reasons strings.Builder
 	demo.WriteReasons(&reasons, events)
-	f.t.Logf("quotes: sent %d, done %d, not run %d, unknown %d, longest gap %s\n%s", sent, done,
-		quotes(history.Answered, model.OutcomeNotRun), quotes(history.Answered, model.OutcomeUnknown), longestGap(events), &reasons)
+	f.t.Logf("quotes: sent %d, done %d, not run %d, unknown %d, longest wait %s\n%s", sent, done,
+		quotes(history.Answered, model.OutcomeNotRun), quotes(history.Answered, model.OutcomeUnknown), longestWait(events), &reasons)
 	assert.Greater(f.t, done, sent*2/3)
 }
 
-// longestGap returns the longest time between two answers to quotes.
-func longestGap(events []history.Event) time.Duration {
-	var last time.Time
+// longestWait returns the longest time from a quote's first sending to its
+// answer.
+func longestWait(events []history.Event) time.Duration {
+	sent := make(map[string]time.Time)
 	longest := time.Duration(0)
 	for _, e := range events {
-		if e.Kind != history.Answered || e.Outcome != model.OutcomeDone {
-			continue
-		}
-		if !last.IsZero() {
-			longest = max(longest, e.At.Sub(last))
+		switch {
+		case e.Kind == history.Sent && e.Send == 0:
+			sent[e.Call] = e.At
+		case e.Kind == history.Answered && e.Outcome == model.OutcomeDone:
+			longest = max(longest, e.At.Sub(sent[e.Call]))
 		}
-		last = e.At
 	}
 	return longest
 }
