Keep listed ends in the ledger until they arrive

Cause: a team owner that learned of an ended attempt from a list waited for its report; when that rack changed its holder and the worker had restarted, nobody knew of it any more and the task ran for good. Ruled out: repeating the query; the new holder truly holds nothing. Change: listed ends are entries of size zero, so the next complete answer of a later holder ends them.

--- a/internal/app/teamowner/settle.go
+++ b/internal/app/teamowner/settle.go
@@ -136,8 +136,7 @@
 	uncertain := convert.Resources(reply.GetUncertain())
 	ended := o.state.Ledger().Settle(id, epoch, floor, held, uncertain)
 	for _, entry := range held {
-		_, used := o.state.Ledger().Lookup(entry.Permit.ID)
-		if entry.Task != "" && (used || entry.Ended) {
+		if _, held := o.state.Ledger().Lookup(entry.Permit.ID); held && entry.Task != "" {
 			o.state.Adopt(entry.Task, entry.Attempt, entry.Permit.ID)
 		}
 	}
--- a/internal/core/permit/ledger.go
+++ b/internal/core/permit/ledger.go
@@ -344,9 +344,14 @@
 
 func (l *Ledger) adopt(entry Entry) {
 	_, known := l.entries[entry.Permit.ID]
-	if known || entry.Ended || l.released[entry.Permit.ID] {
+	if known || l.released[entry.Permit.ID] {
 		return
 	}
+	if entry.Ended {
+		// It stays listed until its end arrives, which a later holder of the
+		// partition may not know of.
+		entry.Permit.Size = model.Resources{}
+	}
 	entry.Adopted = true
 	l.insert(entry)
 }
