--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -38,7 +38,8 @@
 
 func TestPausedSchedulerDoesNotActOnItsReturn(t *testing.T) {
 	f := start(t, false)
-	f.submit("batch", model.WorkBatch, 40)
+	// The team's upper limit is 16 of these tasks, which outlast the takeover.
+	f.submitLasting("full", model.WorkBatch, 16, outage+2*warmUp)
 	time.Sleep(warmUp)
 	sched := f.ownerOf("layouts").Sched
 	sched.Pause()
--- a/test/process/fixture_test.go
+++ b/test/process/fixture_test.go
@@ -73,6 +73,7 @@
 max_queued = 1000
 upper_limit = { processors = 64, memory = "256GiB" }
 `
+	shortRun  = 400 * time.Millisecond
 	targets   = 6 // workers, and as many runners
 	deadline  = 5 * time.Second
 	sendEvery = 20 * time.Millisecond
@@ -163,9 +164,13 @@
 	})
 }
 
-// submit hands a batch of tasks in and awaits its end in the background.
+// submit hands a job of short tasks in and awaits its end in the background.
 func (f *fixture) submit(name string, kind model.WorkKind, tasks int) {
-	run := int64(400)
+	f.submitLasting(name, kind, tasks, shortRun)
+}
+
+func (f *fixture) submitLasting(name string, kind model.WorkKind, tasks int, lasting time.Duration) {
+	run := lasting.Milliseconds()
 	job := caller.Job{
 		Call: name, Credential: f.keys["layouts"], Kind: kind, Tasks: tasks, Processors: 4, Memory: "2GiB",
 		ExpectedRun: time.Second, Task: worker.Payload{RunMS: &run},
