Measure waiting of quick requests at a month-end

Cause: the bench did not show what shedding and turns do under ten times the load. Change: a table of two teams with ordinary load while four others hand in ten times it for five minutes of virtual time, on 40 slots, per policy.

--- a/internal/tool/bench/main.go
+++ b/internal/tool/bench/main.go
@@ -37,7 +37,7 @@
 
 func run() error {
 	t := newTable()
-	for _, section := range []func(table) error{placementTable, packingTable, gangTable, shareTable, domainTable} {
+	for _, section := range []func(table) error{placementTable, packingTable, gangTable, shareTable, domainTable, monthEndTable} {
 		if err := section(t); err != nil {
 			return err
 		}
