Keep teams to their exact shares in a running cell

Cause: the caps of core/fairness were not fed: owners of teams knew nothing of each other's demands, and a team that came later with three times the share got 0.57 of a full cell instead of 0.75. Ends were noticed late, because learned run times included the time until they were noticed, and jobs kept their delay although room had come up. Ruled out: the order at the racks; it sees only the offers that are there. Change: demands travel with the summaries, every owner fills the same water level and keeps to its cap; heartbeats go by declared run times; room that comes up ends a job's delay.

--- a/internal/app/host/host.go
+++ b/internal/app/host/host.go
@@ -40,6 +40,8 @@
 	VMs() []model.VM
 	// Summaries returns the last heard summaries of the partitions of a kind.
 	Summaries(kind model.PartitionKind) []*peerpb.PartitionSummary
+	// Demands returns the last heard demands of all teams.
+	Demands() []*peerpb.TeamDemand
 	Peer() port.Peer
 	Clock() port.Clock
 }
@@ -56,5 +58,11 @@
 	Summary() *peerpb.PartitionSummary
 }
 
+// Demander is a partition of a team that could run tasks.
+type Demander interface {
+	// Demand returns what the team could run at once; nil for nothing.
+	Demand() *peerpb.TeamDemand
+}
+
 // Factory creates the partition of an id for the tenure that epoch names.
 type Factory func(id model.PartitionID, epoch model.Epoch, env Env) Partition
--- a/internal/app/host/manager.go
+++ b/internal/app/host/manager.go
@@ -152,6 +152,21 @@
 	return reports
 }
 
+// Demands returns what the teams held here could run.
+func (m *Manager) Demands() []*peerpb.TeamDemand {
+	var demands []*peerpb.TeamDemand
+	m.Each(func(_ model.PartitionID, partition Partition) {
+		owner, ok := partition.(Demander)
+		if !ok {
+			return
+		}
+		if demand := owner.Demand(); demand != nil {
+			demands = append(demands, demand)
+		}
+	})
+	return demands
+}
+
 // Serve passes a call to the partition that it names. Calls for partitions
 // that this member does not hold are refused as NOT_OWNER.
 func (m *Manager) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
--- a/internal/app/jobtest/cell_test.go
+++ b/internal/app/jobtest/cell_test.go
@@ -68,6 +68,9 @@
 	epoch    model.Epoch
 	calls    int
 	teams    map[model.JobID]model.TeamID // of submitted jobs
+	demands  map[model.PartitionID]*peerpb.TeamDemand
+	// urgentShare replaces the second team's share if it is set.
+	urgentShare float64
 }
 
 func newCell(t *testing.T) *cell {
@@ -90,6 +93,7 @@
 		out:     map[model.FailureDomain]bool{},
 		silent:  map[string]bool{},
 		teams:   map[model.JobID]model.TeamID{},
+		demands: map[model.PartitionID]*peerpb.TeamDemand{},
 		template: model.WorkspaceTemplate{
 			Team:       testTeam,
 			Kinds:      []model.WorkKind{model.WorkBatch, model.WorkGang},
@@ -153,6 +157,9 @@
 	c.peers.Attach(h.address, h.partition)
 	c.holders[id] = h
 	go h.partition.Run(ctx)
+	if owner, ok := h.partition.(host.Demander); ok {
+		go c.spreadDemand(ctx, id, owner)
+	}
 }
 
 // kill ends the process that holds the partition.
@@ -350,6 +357,35 @@
 	return found
 }
 
+func (e *env) Demands() []*peerpb.TeamDemand {
+	e.cell.mu.Lock()
+	defer e.cell.mu.Unlock()
+	demands := make([]*peerpb.TeamDemand, 0, len(e.cell.demands))
+	for _, demand := range e.cell.demands {
+		demands = append(demands, demand)
+	}
+	return demands
+}
+
+// spreadDemand tells all owners of a team's demand, with a lag.
+func (c *cell) spreadDemand(ctx context.Context, id model.PartitionID, owner host.Demander) {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		demand := owner.Demand()
+		c.mu.Lock()
+		if demand != nil {
+			c.demands[id] = demand
+		}
+		c.mu.Unlock()
+	}
+}
+
 func (e *env) Peer() port.Peer { return e.cell.peers.Client(e.holder.address, nil) }
 
 func (e *env) Clock() port.Clock { return e.clock }
@@ -365,6 +401,9 @@
 	defer c.mu.Unlock()
 	template := c.template
 	template.Team = name
+	if name == urgentTeam && c.urgentShare > 0 {
+		template.Share = c.urgentShare
+	}
 	return template, true
 }
 
@@ -459,3 +498,34 @@
 	}
 	return time.Time{}
 }
+
+// meanRunning returns how many tasks of a team ran on average.
+func (c *cell) meanRunning(name model.TeamID, from, to time.Time) float64 {
+	var sum time.Duration
+	starts := map[string]time.Time{}
+	add := func(start, end time.Time) {
+		if start.Before(from) {
+			start = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		sum += max(end.Sub(start), 0)
+	}
+	for _, e := range c.history.Since(0) {
+		if e.Team != name {
+			continue
+		}
+		switch e.Kind {
+		case history.TaskStart:
+			starts[e.Permit] = e.At
+		case history.TaskEnd:
+			add(starts[e.Permit], e.At)
+			delete(starts, e.Permit)
+		}
+	}
+	for _, start := range starts {
+		add(start, to)
+	}
+	return sum.Seconds() / to.Sub(from).Seconds()
+}
--- a/internal/app/jobtest/jobs_test.go
+++ b/internal/app/jobtest/jobs_test.go
@@ -229,3 +229,37 @@
 		c.await(full, team.JobDone, 5*time.Minute)
 	})
 }
+
+func TestTeamThatComesLaterGetsItsShareOfAFullCell(t *testing.T) {
+	const (
+		perCPU    = 4 // tasks on a processor
+		slots     = racks * workersPer * 4 * perCPU
+		settle    = 10 * time.Second
+		window    = 90 * time.Second
+		share     = 3.0 // of the second team; the first has one
+		want      = share / (share + 1)
+		tolerance = 0.03
+	)
+	small := func(name model.TeamID, runTime time.Duration) model.Job {
+		job := batch(9000, runTime)
+		job.Team = name
+		job.Size = model.Resources{MilliCPU: 1000 / perCPU, MemoryMiB: 64}
+		return job
+	}
+	run(t, func(c *cell) {
+		c.setLimit(model.Resources{MilliCPU: 1 << 20, MemoryMiB: 1 << 30})
+		c.urgentShare = share
+		c.submit(small(testTeam, 2*time.Second))
+		time.Sleep(3 * time.Second)
+		c.addTeam(urgentTeam)
+		time.Sleep(500 * time.Millisecond)
+		c.submit(small(urgentTeam, 1500*time.Millisecond))
+		time.Sleep(settle)
+		from := time.Now()
+		time.Sleep(window)
+		first := c.meanRunning(testTeam, from, time.Now()) / slots
+		second := c.meanRunning(urgentTeam, from, time.Now()) / slots
+		assert.InDelta(t, want, second/(first+second), tolerance, "the first team has %.2f", first)
+		assert.Greater(t, first+second, 0.85, "the cell stays full")
+	})
+}
--- a/internal/app/rackowner/place.go
+++ b/internal/app/rackowner/place.go
@@ -34,6 +34,7 @@
 	answered    bool          // the call has returned, by an error or not
 	confirmed   bool          // the worker confirmed that it runs
 	confirmedAt time.Duration // own clock
+	dueAt       time.Duration // own clock: the declared end; zero for unknown
 }
 
 // enqueue adds an offer to those that wait for a decision.
@@ -251,7 +252,11 @@
 		Payload:     p.message.GetPayload(),
 	}
 	state.until = max(state.until, message.LeaseUntil)
-	o.starts[p.offer.Permit.ID] = &start{before: message.StartBefore}
+	known := &start{before: message.StartBefore}
+	if message.ExpectedRun > 0 {
+		known.dueAt = now + message.ExpectedRun
+	}
+	o.starts[p.offer.Permit.ID] = known
 	return sending{pending: p, vm: state.vm, message: message}
 }
 
--- a/internal/app/rackowner/vm.go
+++ b/internal/app/rackowner/vm.go
@@ -18,6 +18,9 @@
 	// minBeat is the shortest time between heartbeats to a worker, used when
 	// a task is expected to end.
 	minBeat = 100 * time.Millisecond
+	// endSlack is how long after a task's expected end its worker is asked: a
+	// task starts a little after it was placed.
+	endSlack = 20 * time.Millisecond
 	// silentAfter is how long a worker may go unheard before it gets no work.
 	silentAfter = 2500 * time.Millisecond
 )
@@ -222,12 +225,14 @@
 	return o.rack.Report(id, report.Tasks, now)
 }
 
-// beatDelay returns when a task is expected to end, within the bounds.
+// beatDelay returns when the next task is expected to end, within the bounds.
+// It goes by the declared run time: what was learned includes the time until
+// an end was noticed and would put the next look off further each time.
 func (o *Owner) beatDelay(id model.VMID, now time.Duration) time.Duration {
 	delay := beatEvery
 	for _, held := range o.rack.On(id) {
-		if held.ExpectedEnd > 0 {
-			delay = min(delay, held.ExpectedEnd-now)
+		if s := o.starts[held.Permit.ID]; s != nil && s.dueAt > 0 {
+			delay = min(delay, s.dueAt+endSlack-now)
 		}
 	}
 	return max(delay, minBeat)
@@ -273,7 +278,12 @@
 }
 
 func (o *Owner) adopt(state *vmState, status port.TaskStatus, sent, now time.Duration) {
-	o.starts[status.Permit] = &start{confirmed: true, confirmedAt: sent}
+	if known := o.starts[status.Permit]; known != nil {
+		known.confirmed = true
+		known.confirmedAt = sent
+	} else {
+		o.starts[status.Permit] = &start{confirmed: true, confirmedAt: sent}
+	}
 	if _, ok := o.rack.Lookup(status.Permit); ok {
 		o.rack.Started(status.Permit)
 		return
--- a/internal/app/sched/env.go
+++ b/internal/app/sched/env.go
@@ -86,12 +86,51 @@
 type summaryCache struct {
 	clock port.Clock
 
-	mu    sync.RWMutex
-	heard map[model.PartitionID]heardSummary
+	mu      sync.RWMutex
+	heard   map[model.PartitionID]heardSummary
+	demands map[model.TeamID]heardDemand
 }
 
 func newSummaryCache(clock port.Clock) *summaryCache {
-	return &summaryCache{clock: clock, heard: map[model.PartitionID]heardSummary{}}
+	return &summaryCache{
+		clock:   clock,
+		heard:   map[model.PartitionID]heardSummary{},
+		demands: map[model.TeamID]heardDemand{},
+	}
+}
+
+// heardDemand is a team's demand and when it arrived.
+type heardDemand struct {
+	demand *peerpb.TeamDemand
+	at     time.Duration
+}
+
+// addDemands takes over demands, but none of a former owner.
+func (c *summaryCache) addDemands(demands []*peerpb.TeamDemand) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	for _, demand := range demands {
+		name := model.TeamID(demand.GetTeam())
+		if known := c.demands[name].demand; known.GetEpoch() > demand.GetEpoch() {
+			continue
+		}
+		c.demands[name] = heardDemand{demand: demand, at: now}
+	}
+}
+
+// Demands returns the demands that are not too old.
+func (c *summaryCache) Demands() []*peerpb.TeamDemand {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	now := c.clock.Now()
+	var found []*peerpb.TeamDemand
+	for _, heard := range c.demands {
+		if now-heard.at < summaryTTL {
+			found = append(found, heard.demand)
+		}
+	}
+	return found
 }
 
 // add takes over reports, but none of a former holder.
--- a/internal/app/sched/serve.go
+++ b/internal/app/sched/serve.go
@@ -42,6 +42,7 @@
 // hear takes over another member's report.
 func (s *Sched) hear(report *peerpb.Summaries) {
 	s.summaries.add(report.GetPartitions())
+	s.summaries.addDemands(report.GetDemands())
 	age := time.Duration(report.GetConfigAgeMs()) * time.Millisecond
 	s.config.Vouch(report.GetConfigRevision(), age, model.MemberID(report.GetMember()))
 }
@@ -116,17 +117,20 @@
 		case <-ticker.C:
 		}
 		own := s.manager.Summaries()
+		demands := s.manager.Demands()
 		s.summaries.add(own)
+		s.summaries.addDemands(demands)
 		if changed, ok := reports.due(own, s.clock.Now()); ok {
-			s.sendSummaries(ctx, changed)
+			s.sendSummaries(ctx, changed, demands)
 		}
 	}
 }
 
-func (s *Sched) sendSummaries(ctx context.Context, summaries []*peerpb.PartitionSummary) {
+func (s *Sched) sendSummaries(ctx context.Context, summaries []*peerpb.PartitionSummary, demands []*peerpb.TeamDemand) {
 	report := &peerpb.Request{Body: &peerpb.Request_Summaries{Summaries: &peerpb.Summaries{
 		Member:         string(s.id),
 		Partitions:     summaries,
+		Demands:        demands,
 		ConfigRevision: s.config.Snapshot().Revision(),
 		ConfigAgeMs:    s.config.Age().Milliseconds(),
 	}}}
--- a/internal/app/targets/owner_test.go
+++ b/internal/app/targets/owner_test.go
@@ -102,6 +102,7 @@
 	return !w.stale
 }
 func (w *world) Summaries(model.PartitionKind) []*peerpb.PartitionSummary  { return nil }
+func (w *world) Demands() []*peerpb.TeamDemand                             { return nil }
 func (w *world) Peer() port.Peer                                           { return w.peers.Client("group", nil) }
 func (w *world) Clock() port.Clock                                         { return w.clock }
 func (w *world) Revision() uint64                                          { return 1 }
--- a/internal/app/teamowner/owner.go
+++ b/internal/app/teamowner/owner.go
@@ -62,6 +62,7 @@
 	querying map[model.PartitionID]bool
 	offered  int // tasks whose offers are unanswered
 	view     capacityView
+	share    share
 	unsaved  []*logpb.JournalRecord // changed by the flush loop only
 	saved    chan struct{}          // closed when all up to now is on the log
 	waitSave []chan struct{}        // of earlier appends that failed
@@ -89,6 +90,7 @@
 		querying: map[model.PartitionID]bool{},
 		saved:    make(chan struct{}),
 		view:     newCapacityView(uint64(epoch)),
+		share:    newShare(),
 	}
 }
 
--- a/internal/app/teamowner/schedule.go
+++ b/internal/app/teamowner/schedule.go
@@ -58,7 +58,9 @@
 		}
 		o.state.Fits(candidate.Job.ID)
 		if candidate.Job.Kind == model.WorkGang {
-			gangs = append(gangs, o.planGang(candidate))
+			if o.mayUse(candidate.Job.Size.Scale(int64(candidate.Waiting))) {
+				gangs = append(gangs, o.planGang(candidate))
+			}
 			continue
 		}
 		o.planJob(candidate, offers)
@@ -72,6 +74,9 @@
 	job := candidate.Job
 	domainOut := o.env.Config().DomainOut
 	for range min(candidate.Waiting, maxPerJob) {
+		if !o.mayUse(job.Size) {
+			return
+		}
 		rack, room, ok := o.view.pickRack(job, domainOut)
 		if !ok {
 			o.state.Delay(job.ID, now)
--- a/internal/app/teamowner/serve.go
+++ b/internal/app/teamowner/serve.go
@@ -99,12 +99,24 @@
 		o.state.Ledger().Release(id)
 	}
 	for _, end := range call.GetTasks() {
+		o.noteFreed(end.GetPermitId())
 		o.state.Ended(taskEnd(end))
 	}
 	o.waiters.wake(len(call.GetQuick()))
 	return o.saved
 }
 
+// noteFreed lets the next task take the room of one that ended, before the
+// rack's next summary tells of it. The owner is locked.
+func (o *Owner) noteFreed(permitID string) {
+	entry, ok := o.state.Ledger().Lookup(permitID)
+	if !ok {
+		return
+	}
+	o.view.picker.Freed(entry.Permit.Partition, entry.Permit.Size)
+	o.state.Room(o.env.Clock().Now())
+}
+
 func taskEnd(end *peerpb.TaskEnd) team.End {
 	state := port.TaskState(end.GetState())
 	return team.End{
--- a/internal/app/teamowner/settle.go
+++ b/internal/app/teamowner/settle.go
@@ -32,8 +32,12 @@
 		o.noticeHolder(id, bound)
 	}
 	o.view.refresh(racks, targets, ledger.Epoch)
+	if o.view.takeNews() {
+		o.state.Room(o.env.Clock().Now())
+	}
 	o.view.setWorkers(vms)
 	o.state.SetTotal(o.view.total)
+	o.aim(racks)
 	now := o.env.Clock().Now()
 	unsettled := ledger.Unsettled()
 	for _, id := range unsettled {
--- a/internal/app/teamowner/view.go
+++ b/internal/app/teamowner/view.go
@@ -30,6 +30,7 @@
 	picker  *candidate.View
 	targets map[model.ServiceID][]*place
 	shapes  []shape // distinct ones of all listed workers
+	news    bool    // a rack told of room since takeNews
 	total   model.Resources
 }
 
@@ -78,6 +79,7 @@
 	if known := v.racks[p.id]; known != nil && known.summary == p.summary {
 		return
 	}
+	v.news = v.news || len(p.summary.GetRoom()) > 0
 	v.racks[p.id] = p
 	v.picker.Update(candidate.Rack{
 		Partition: p.id,
@@ -168,6 +170,13 @@
 	return a
 }
 
+// takeNews reports whether a rack has told of room since the last call.
+func (v *capacityView) takeNews() bool {
+	news := v.news
+	v.news = false
+	return news
+}
+
 // pickRack returns the rack that a task of the job is offered to, and whether
 // it had room by the last summaries.
 func (v *capacityView) pickRack(job model.Job, domainOut func(model.FailureDomain) bool) (rack *place, room, ok bool) {
--- a/internal/core/team/job.go
+++ b/internal/core/team/job.go
@@ -44,6 +44,7 @@
 	detail    string
 	notBefore time.Duration     // offers wait until then
 	refusals  int               // in a row, for lack of capacity
+	delayedAt time.Duration     // when notBefore was set
 	refusedBy model.PartitionID // the last rack without room
 	unfit     int               // looks in a row at which it fitted no listed VM
 	queued    bool              // in the ready queue
@@ -121,8 +122,12 @@
 }
 
 // offerable reports whether the job's waiting tasks may be offered now.
-func (j *job) offerable(recovering bool, now time.Duration) bool {
-	if j.notBefore > now || j.restored && recovering {
+// Room that came up since its last refusal ends the wait.
+func (j *job) offerable(g gate) bool {
+	if j.notBefore > g.now && j.delayedAt >= g.roomAt {
+		return false
+	}
+	if j.restored && g.recovering {
 		return false
 	}
 	return j.Kind != model.WorkGang || j.active() == 0
--- a/internal/core/team/ready.go
+++ b/internal/core/team/ready.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+// gate tells which jobs may be offered.
+type gate struct {
+	now        time.Duration
+	roomAt     time.Duration // when room last came up
+	recovering bool
+}
+
 // readyQueue orders jobs with waiting tasks: urgent ones first, then by
 // acceptance. Jobs without waiting tasks are dropped when they are met, so a
 // wave of cancellations costs nothing by itself.
@@ -24,15 +31,15 @@
 }
 
 // take returns up to limit jobs that may be offered now, in order.
-func (q *readyQueue) take(limit int, recovering bool, now time.Duration) []*job {
+func (q *readyQueue) take(limit int, g gate) []*job {
 	jobs := make([]*job, 0, limit)
-	q.urgent = q.scan(q.urgent, &jobs, limit, recovering, now)
-	q.normal = q.scan(q.normal, &jobs, limit, recovering, now)
+	q.urgent = q.scan(q.urgent, &jobs, limit, g)
+	q.normal = q.scan(q.normal, &jobs, limit, g)
 	return jobs
 }
 
 // scan appends offerable jobs and returns the list without finished ones.
-func (q *readyQueue) scan(list []*job, found *[]*job, limit int, recovering bool, now time.Duration) []*job {
+func (q *readyQueue) scan(list []*job, found *[]*job, limit int, g gate) []*job {
 	dropped := false
 	for i, j := range list {
 		if len(*found) >= limit {
@@ -44,7 +51,7 @@
 			dropped = true
 			continue
 		}
-		if j.offerable(recovering, now) {
+		if j.offerable(g) {
 			*found = append(*found, j)
 		}
 	}
--- a/internal/core/team/state.go
+++ b/internal/core/team/state.go
@@ -32,6 +32,7 @@
 	// recovering is true until every partition has told what it runs for
 	// earlier tenures.
 	recovering bool
+	roomAt     time.Duration // when room last came up
 }
 
 // New returns the state of a new tenure. Jobs follow by AddJob, use by the
@@ -105,6 +106,29 @@
 	return s.ledger.Known().DominantShare(s.total) / weight
 }
 
+// Demand returns how many tasks wait or run, and their mean size. It costs one
+// pass over the jobs.
+func (s *State) Demand() (tasks int64, mean model.Resources) {
+	var sum model.Resources
+	for _, j := range s.jobs {
+		if !j.open() {
+			continue
+		}
+		n := int64(len(j.waiting) + j.active())
+		tasks += n
+		sum = sum.Add(j.Size.Scale(n))
+	}
+	if tasks == 0 {
+		return 0, model.Resources{}
+	}
+	return tasks, model.Resources{
+		MilliCPU:     sum.MilliCPU / tasks,
+		MemoryMiB:    sum.MemoryMiB / tasks,
+		Accelerators: sum.Accelerators / tasks,
+		Slots:        sum.Slots / tasks,
+	}
+}
+
 // Quick is the turn that a quick request asks for.
 type Quick struct {
 	Request       model.RequestID
--- a/internal/core/team/tasks.go
+++ b/internal/core/team/tasks.go
@@ -32,7 +32,7 @@
 // whose start deadline has passed are ended as not run.
 func (s *State) Candidates(limit int, now time.Duration, wall time.Time) []Candidate {
 	var found []Candidate
-	for _, j := range s.ready.take(limit, s.recovering, now) {
+	for _, j := range s.ready.take(limit, gate{now: now, roomAt: s.roomAt, recovering: s.recovering}) {
 		if s.endIfLate(j, wall) {
 			continue
 		}
@@ -126,9 +126,16 @@
 func (j *job) delay(now time.Duration) {
 	delay := minOfferDelay << min(j.refusals, maxDelayDoublings)
 	j.refusals++
+	j.delayedAt = now
 	j.notBefore = now + min(delay, maxOfferDelay)
 }
 
+// Room notes that room has come up on some rack, so that jobs that wait for it
+// are offered again before their delay is over.
+func (s *State) Room(now time.Duration) {
+	s.roomAt = now
+}
+
 // maxUnfit is the number of looks in a row, at most half a second apart, after
 // which a job that fits no listed VM is given up. It outlasts a VM list that
 // lacks a rack for a while.
