--- a/internal/app/configwatch/follow.go
+++ b/internal/app/configwatch/follow.go
@@ -15,21 +15,18 @@
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval = retryDelay
 	delay.MaxInterval = maxRetryDelay
-	failing := false
 	for ctx.Err() == nil {
 		err := w.step(ctx)
 		if err == nil {
-			if failing {
+			if w.failing.Swap(false) {
 				w.opt.Logger.Info("The log can be read again.")
 			}
-			failing = false
 			delay.Reset()
 			continue
 		}
-		if !failing && ctx.Err() == nil {
+		if !w.failing.Swap(true) && ctx.Err() == nil {
 			w.opt.Logger.WithError(err).Warn("Cannot read the configuration from the log.")
 		}
-		failing = true
 		sleep(ctx, delay.NextBackOff())
 	}
 }
--- a/internal/app/configwatch/members.go
+++ b/internal/app/configwatch/members.go
@@ -32,7 +32,9 @@
 		// A newer revision usually arrives from the log within the period.
 		wasBehind := behind
 		behind = w.heard.Load() > w.Snapshot().Revision()
-		if !w.readable() || (behind && wasBehind) {
+		// While the log fails, only the members tell of changes, and their
+		// answers must not keep this process from asking again.
+		if !w.readable() || w.failing.Load() || (behind && wasBehind) {
 			w.askMembers(ctx)
 		}
 	}
--- a/internal/app/configwatch/watcher.go
+++ b/internal/app/configwatch/watcher.go
@@ -30,9 +30,10 @@
 type Watcher struct {
 	opt Options
 
-	state  atomic.Pointer[state]
-	heard  atomic.Uint64 // newest revision that a member reported
-	shrunk atomic.Bool   // the log answers, but without records read before
+	state   atomic.Pointer[state]
+	heard   atomic.Uint64 // newest revision that a member reported
+	shrunk  atomic.Bool   // the log answers, but without records read before
+	failing atomic.Bool   // the last read of the log failed
 
 	mu     sync.Mutex
 	fold   *config.Fold // nil until loaded
--- a/internal/port/porttest/memlog.go
+++ b/internal/port/porttest/memlog.go
@@ -53,15 +53,19 @@
 func (l *MemLog) Read(
 	ctx context.Context, stream string, from uint64, limit int, wait time.Duration,
 ) (port.Batch, error) {
+	batch, grown, err := l.peek(stream, from, limit)
+	if err != nil || len(batch.Records) > 0 || wait <= 0 {
+		return batch, err
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		batch, grown, err := l.peek(stream, from, limit)
-		if err != nil || len(batch.Records) > 0 {
-			return batch, err
-		}
 		select {
 		case <-grown:
+			batch, grown, err = l.peek(stream, from, limit)
+			if err != nil || len(batch.Records) > 0 {
+				return batch, err
+			}
 		case <-timer.C:
 			return batch, nil
 		case <-ctx.Done():
