Let the request that wrote an intent go on; keep one VM list cache

A resend while the first ran was told 'unknown' at once. Ruled out: trusting any request with that key; only the same request id may go on, because its entry sends a non-idempotent request once. Change: an intent is remembered with its request id and asked for until it is confirmed; a key is given up only when nothing was appended; a resend waits for the first one's end until its deadline.

--- a/internal/app/sched/env.go
+++ b/internal/app/sched/env.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/balsamhitch/balsamhitch/internal/app/host"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
@@ -18,64 +16,10 @@
 const (
 	// listEvery is the time between reads of the VM list.
 	listEvery = 300 * time.Millisecond
-	// listTimeout bounds one read of the VM list.
-	listTimeout = 2 * time.Second
 	// summaryTTL is how long a summary that is not renewed counts.
 	summaryTTL = 2 * time.Second
 )
 
-// vmCache keeps the last read VM list.
-type vmCache struct {
-	list   port.VMList
-	logger *logrus.Entry
-
-	mu   sync.RWMutex
-	vms  []model.VM
-	read bool
-}
-
-func (c *vmCache) run(ctx context.Context) {
-	ticker := time.NewTicker(listEvery)
-	defer ticker.Stop()
-	for {
-		c.refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// refresh keeps the former list when the platform does not answer.
-func (c *vmCache) refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	vms, err := c.list.List(ctx)
-	if err != nil {
-		c.logger.WithError(err).Debug("VM list was not read.")
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.vms = vms
-	c.read = true
-}
-
-// VMs returns the last read list; callers must not change it.
-func (c *vmCache) VMs() []model.VM {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	return c.vms
-}
-
-// ready reports whether the list has been read once.
-func (c *vmCache) ready() bool {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	return c.read
-}
-
 // heardSummary is a partition's report and when it arrived.
 type heardSummary struct {
 	summary *peerpb.PartitionSummary
@@ -178,7 +122,6 @@
 
 // env is the environment of the partitions.
 type env struct {
-	*vmCache
 	*summaryCache
 	sched *Sched
 }
@@ -190,6 +133,11 @@
 	return e.sched.member.Owner(id)
 }
 
+// VMs implements host.Env.
+func (e env) VMs() []model.VM {
+	return e.sched.listed()
+}
+
 // MayAct implements host.Env.
 func (e env) MayAct(id model.PartitionID, epoch model.Epoch) bool {
 	return e.sched.member.MayAct(id, epoch)
--- a/internal/app/sched/sched.go
+++ b/internal/app/sched/sched.go
@@ -18,6 +18,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/app/rackowner"
 	"github.com/balsamhitch/balsamhitch/internal/app/targets"
 	"github.com/balsamhitch/balsamhitch/internal/app/teamowner"
+	"github.com/balsamhitch/balsamhitch/internal/app/vmwatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/fairness"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/rack"
@@ -81,7 +82,7 @@
 	address   string
 	journal   *journal.Journal
 	manager   *host.Manager
-	vms       *vmCache
+	vms       *vmwatch.Cache
 	summaries *summaryCache
 }
 
@@ -97,7 +98,7 @@
 		clock:     options.Clock,
 		logger:    options.Logger.WithField("part", "sched"),
 		pool:      pool,
-		vms:       &vmCache{list: options.VMList, logger: options.Logger.WithField("part", "vms")},
+		vms:       vmwatch.New(options.VMList, listEvery, options.Logger),
 		summaries: newSummaryCache(options.Clock),
 	}
 	s.journal = journal.New(options.Log, func() int { return len(s.member.Members()) }, options.Logger)
@@ -114,7 +115,7 @@
 		s.config.Register(options.Metrics)
 	}
 	s.peer = &localPeer{Peer: options.Peer, address: options.Address, handler: s}
-	e := env{vmCache: s.vms, summaryCache: s.summaries, sched: s}
+	e := env{summaryCache: s.summaries, sched: s}
 	s.manager = host.NewManager(e, s.factories(options), options.Logger)
 	s.member = membership.New(s.memberOptions(options))
 	return s, nil
@@ -128,7 +129,7 @@
 		Log:         options.Log,
 		Clock:       options.Clock,
 		Peer:        s.peer,
-		VMs:         s.vms.VMs,
+		VMs:         s.listed,
 		Wanted:      s.wanted,
 		Lease:       options.Lease,
 		RenewEvery:  options.RenewEvery,
@@ -177,7 +178,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.journal.Run(ctx) })
 	group.Go(func() error { return s.config.Run(ctx) })
-	group.Go(func() error { s.vms.run(ctx); return nil })
+	group.Go(func() error { s.vms.Run(ctx); return nil })
 	group.Go(func() error { s.summariesLoop(ctx); return nil })
 	group.Go(func() error { return s.joinWhenReady(ctx) })
 	err := group.Wait()
@@ -197,7 +198,7 @@
 	}
 	ticker := time.NewTicker(readyLook)
 	defer ticker.Stop()
-	for !s.config.Ready() || !s.vms.ready() {
+	for !s.config.Ready() || !s.listRead() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -208,6 +209,18 @@
 	return s.member.Run(ctx)
 }
 
+// listed returns the last read VM list.
+func (s *Sched) listed() []model.VM {
+	vms, _ := s.vms.VMs()
+	return vms
+}
+
+// listRead reports whether the VM list has been read once.
+func (s *Sched) listRead() bool {
+	_, ok := s.vms.VMs()
+	return ok
+}
+
 // readyLook is the time between looks at whether all has been read.
 const readyLook = 20 * time.Millisecond
 
--- a/internal/app/sched/serve.go
+++ b/internal/app/sched/serve.go
@@ -55,7 +55,7 @@
 	for i, member := range members {
 		view[i] = member.Address
 	}
-	return s.roster.Others(s.address, view, s.vms.VMs()), len(members) > 0 && s.vms.ready()
+	return s.roster.Others(s.address, view, s.listed()), len(members) > 0 && s.listRead()
 }
 
 // status describes this member for operators.
@@ -155,7 +155,7 @@
 	for _, team := range s.config.Snapshot().Teams() {
 		seen[model.TeamPartition(team)] = true
 	}
-	for _, vm := range s.vms.VMs() {
+	for _, vm := range s.listed() {
 		if id := vm.Partition(); id != "" {
 			seen[id] = true
 		}
--- a/internal/app/teamowner/quick.go
+++ b/internal/app/teamowner/quick.go
@@ -12,6 +12,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
 	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
 const (
@@ -20,6 +21,9 @@
 	// clockSkew is the most by which wall clocks of callers and members are
 	// taken to differ.
 	clockSkew = 2 * time.Second
+	// recheckKey is how often a request looks for the end of an earlier one
+	// with the same key.
+	recheckKey = 20 * time.Millisecond
 	// recheckLimit is how often the first waiting request looks at the limit
 	// again even when it is not told to.
 	recheckLimit = 20 * time.Millisecond
@@ -30,13 +34,7 @@
 func (o *Owner) admit(ctx context.Context, call *peerpb.AdmitQuick) *peerpb.AdmitQuickReply {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.GetDeadlineMs())*time.Millisecond)
 	defer cancel()
-	o.mu.Lock()
-	admission := o.state.Admit(team.Quick{
-		Request:       model.RequestID(call.GetRequestId()),
-		Key:           call.GetIdempotencyKey(),
-		NonIdempotent: call.GetNonIdempotent(),
-	}, o.env.Clock().Now())
-	o.mu.Unlock()
+	admission := o.awaitKey(ctx, call)
 	switch admission.Standing {
 	case team.KeyEnded:
 		return known(admission)
@@ -52,6 +50,31 @@
 	return o.grant(ctx, call)
 }
 
+// awaitKey notes the request. While another one with its key runs, it waits for
+// that one's end.
+func (o *Owner) awaitKey(ctx context.Context, call *peerpb.AdmitQuick) team.Admission {
+	quick := team.Quick{
+		Request:       model.RequestID(call.GetRequestId()),
+		Key:           call.GetIdempotencyKey(),
+		NonIdempotent: call.GetNonIdempotent(),
+	}
+	ticker := time.NewTicker(recheckKey)
+	defer ticker.Stop()
+	for {
+		o.mu.Lock()
+		admission := o.state.Admit(quick, o.env.Clock().Now())
+		o.mu.Unlock()
+		if admission.Standing != team.KeyInFlight || o.inFlight.Draining() || !o.mayAct() {
+			return admission
+		}
+		select {
+		case <-ctx.Done():
+			return admission
+		case <-ticker.C:
+		}
+	}
+}
+
 func known(admission team.Admission) *peerpb.AdmitQuickReply {
 	return &peerpb.AdmitQuickReply{Known: &peerpb.KnownAnswer{
 		RequestId: string(admission.Request),
@@ -87,7 +110,9 @@
 		// No former owner can have seen the key, and this one remembers it.
 		return nil
 	}
-	o.forgetKey(call)
+	if port.NotStarted.Has(err) {
+		o.forgetKey(call)
+	}
 	return &peerpb.AdmitQuickReply{Refusal: convert.RefuseAfter(peerpb.Refusal_UNAVAILABLE,
 		"the log is down: a non-idempotent request needs a fresh ULID as its idempotency key", time.Second)}
 }
--- a/internal/app/vmwatch/vmwatch.go
+++ b/internal/app/vmwatch/vmwatch.go
@@ -63,23 +63,3 @@
 	}
 	return *vms, true
 }
-
-// Gone reports whether a read list does not have the entry VM of a peer
-// address. A list without any entry VM proves nothing.
-func (c *Cache) Gone(address string) bool {
-	vms := c.vms.Load()
-	if vms == nil {
-		return false
-	}
-	listed := false
-	for _, vm := range *vms {
-		if vm.Role != model.RoleEntry {
-			continue
-		}
-		listed = true
-		if vm.Address == address {
-			return false
-		}
-	}
-	return listed
-}
--- a/internal/app/vmwatch/vmwatch_test.go
+++ b/internal/app/vmwatch/vmwatch_test.go
@@ -26,23 +26,22 @@
 	return answer, nil
 }
 
-// TestOutageKeepsTheList guards members that would be taken for gone because
-// the platform does not answer or lists no entry VM.
+// TestOutageKeepsTheList guards VMs that would be taken for gone because the
+// platform does not answer.
 func TestOutageKeepsTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		entries := []model.VM{{Role: model.RoleEntry, Address: "a"}}
 		c := New(&list{answers: [][]model.VM{nil, {}, entries, nil}}, time.Second, logrus.NewEntry(logrus.New()))
 		ctx, cancel := context.WithCancel(t.Context())
 		go c.Run(ctx)
-		for range 2 {
+		for _, want := range []struct {
+			vms  []model.VM
+			read bool
+		}{{nil, false}, {[]model.VM{}, true}, {entries, true}, {entries, true}} {
 			synctest.Wait()
-			assert.False(t, c.Gone("b"))
-			time.Sleep(time.Second)
-		}
-		for range 2 {
-			synctest.Wait()
-			assert.True(t, c.Gone("b"))
-			assert.False(t, c.Gone("a"))
+			vms, read := c.VMs()
+			assert.Equal(t, want.read, read)
+			assert.Equal(t, want.vms, vms)
 			time.Sleep(time.Second)
 		}
 		cancel()
--- a/internal/core/team/answers.go
+++ b/internal/core/team/answers.go
@@ -29,6 +29,11 @@
 // answer is what is known of one idempotency key.
 type answer struct {
 	request model.RequestID
+	// intended is set once the request's intent is on the log. Whoever holds the
+	// request may go on with it; for others its end is unknown.
+	intended bool
+	// foreign is set if no request of this tenure wrote that intent.
+	foreign bool
 	ended   bool
 	outcome model.Outcome
 	body    model.Answer
@@ -64,9 +69,32 @@
 	if known.request == request {
 		return KeySame, known
 	}
+	if known.foreign {
+		return KeyEnded, known
+	}
 	return KeyInFlight, known
 }
 
+// intend notes that the log has an intent of the request, which is the first
+// one for its key.
+func (a *answers) intend(key string, request model.RequestID, now time.Duration) {
+	standing, known := a.begin(key, request, now)
+	if key == "" || standing == KeyEnded {
+		return
+	}
+	if standing == KeyNew {
+		known = a.byKey[key]
+		known.foreign = true
+	}
+	if standing == KeyInFlight {
+		// Another owner's request came first in the log.
+		known.request = request
+		known.foreign = true
+	}
+	known.intended = true
+	known.outcome = model.OutcomeUnknown
+}
+
 // end records the end of the request that the key belongs to. A request that
 // has certainly not run frees its key.
 func (a *answers) end(key string, request model.RequestID, outcome model.Outcome, body model.Answer, now time.Duration) {
--- a/internal/core/team/state.go
+++ b/internal/core/team/state.go
@@ -150,31 +150,21 @@
 func (s *State) Admit(q Quick, now time.Duration) Admission {
 	standing, known := s.answers.begin(q.Key, q.Request, now)
 	admission := Admission{Standing: standing, Request: q.Request}
+	intended := false
 	if known != nil {
 		admission.Request = known.request
 		admission.Outcome = known.outcome
 		admission.Answer = known.body
+		intended = known.intended
 	}
-	admission.NeedsIntent = q.NonIdempotent && q.Key != "" && standing == KeyNew
+	admission.NeedsIntent = q.NonIdempotent && q.Key != "" && !intended
 	return admission
 }
 
-// AddIntent takes over an intent from the journal. It returns false when the
-// key belongs to another request, whose outcome is then unknown here unless
-// its end is known.
+// AddIntent takes over an intent from the journal. The request that wrote it
+// may go on; another one with the same key is told that its end is unknown.
 func (s *State) AddIntent(intent *logpb.Intent, now time.Duration) {
-	request := model.RequestID(intent.GetRequestId())
-	standing, known := s.answers.begin(intent.GetIdempotencyKey(), request, now)
-	if standing == KeyNew {
-		// Nobody here sent it: a former owner may have.
-		s.answers.end(intent.GetIdempotencyKey(), request, model.OutcomeUnknown, model.Answer{}, now)
-		return
-	}
-	if known != nil && !known.ended && known.request != request {
-		// Another owner's intent came first in the log.
-		known.request = request
-		s.answers.end(intent.GetIdempotencyKey(), request, model.OutcomeUnknown, model.Answer{}, now)
-	}
+	s.answers.intend(intent.GetIdempotencyKey(), model.RequestID(intent.GetRequestId()), now)
 }
 
 // GrantQuick returns a permit for one slot of the target group.
--- a/internal/core/team/state_test.go
+++ b/internal/core/team/state_test.go
@@ -116,6 +116,28 @@
 	assert.Equal(t, model.OutcomeUnknown, admission.Outcome)
 }
 
+func TestRetryOfTheRequestThatWroteAnIntentMayGoOn(t *testing.T) {
+	s := newState(10)
+	q := Quick{Request: "r1", Key: "k", NonIdempotent: true}
+	assert.True(t, s.Admit(q, 0).NeedsIntent)
+	again := s.Admit(q, 0)
+	assert.Equal(t, KeySame, again.Standing)
+	assert.True(t, again.NeedsIntent, "the first append was not confirmed")
+	s.AddIntent(&logpb.Intent{RequestId: "r1", IdempotencyKey: "k"}, 0)
+	assert.False(t, s.Admit(q, 0).NeedsIntent)
+	other := Quick{Request: "r2", Key: "k", NonIdempotent: true}
+	assert.Equal(t, KeyInFlight, s.Admit(other, 0).Standing)
+	s.Finish("k", "r1", model.OutcomeDone, model.Answer{Status: 200}, 0)
+	assert.Equal(t, model.OutcomeDone, s.Admit(other, 0).Outcome)
+}
+
+func TestIntentThatLandsBeforeItsRequestComesAgain(t *testing.T) {
+	s := newState(10)
+	s.AddIntent(&logpb.Intent{RequestId: "r1", IdempotencyKey: "k"}, 0)
+	assert.Equal(t, KeySame, s.Admit(Quick{Request: "r1", Key: "k", NonIdempotent: true}, 0).Standing)
+	assert.Equal(t, KeyEnded, s.Admit(Quick{Request: "r2", Key: "k", NonIdempotent: true}, 0).Standing)
+}
+
 func TestRefusedRequestFreesItsKey(t *testing.T) {
 	s := newState(10)
 	require.Equal(t, KeyNew, s.Admit(Quick{Request: "r1", Key: "k"}, 0).Standing)
