--- a/internal/app/host/host.go
+++ b/internal/app/host/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
@@ -31,6 +32,10 @@
 	// MayAct reports whether the lease on the partition still runs. It is
 	// checked right before every effect outside the process.
 	MayAct(partition model.PartitionID, epoch model.Epoch) bool
+	// ActUntil returns the reading of the clock until which MayAct holds as far
+	// as is known now, and false once it does not hold. Effects that take a
+	// deadline carry it, so that what arrives late is refused.
+	ActUntil(partition model.PartitionID, epoch model.Epoch) (time.Duration, bool)
 	// Config returns the newest snapshot.
 	Config() Config
 	// ConfigFresh reports whether the snapshot is recent enough to start work
--- a/internal/app/jobtest/cell_test.go
+++ b/internal/app/jobtest/cell_test.go
@@ -329,6 +329,10 @@
 	return !e.holder.lost
 }
 
+func (e *env) ActUntil(id model.PartitionID, epoch model.Epoch) (time.Duration, bool) {
+	return e.clock.Now() + time.Second, e.MayAct(id, epoch)
+}
+
 func (e *env) Config() host.Config { return (*configView)(e.cell) }
 
 func (e *env) ConfigFresh() bool { return true }
--- a/internal/app/rackowner/place.go
+++ b/internal/app/rackowner/place.go
@@ -247,7 +247,7 @@
 		Size:        p.offer.Permit.Size,
 		ExpectedRun: time.Duration(p.message.GetExpectedRunMs()) * time.Millisecond,
 		Epoch:       o.epoch,
-		StartBefore: clock + startWindow,
+		StartBefore: clock + o.timeToStart(now),
 		LeaseUntil:  clock + o.lease,
 		Payload:     p.message.GetPayload(),
 	}
@@ -260,6 +260,16 @@
 	return sending{pending: p, vm: state.vm, message: message}
 }
 
+// timeToStart returns how long a start may be on its way: no longer than this
+// owner may act, so that one held up beyond its tenure is refused.
+func (o *Owner) timeToStart(now time.Duration) time.Duration {
+	until, ok := o.env.ActUntil(o.id, o.epoch)
+	if !ok {
+		return 0
+	}
+	return max(min(startWindow, until-now), 0)
+}
+
 // send starts a reserved attempt on its worker and answers the offer.
 func (o *Owner) send(ctx context.Context, s sending) {
 	if !o.inFlight.Begin() {
--- a/internal/app/sched/env.go
+++ b/internal/app/sched/env.go
@@ -143,6 +143,11 @@
 	return e.sched.member.MayAct(id, epoch)
 }
 
+// ActUntil implements host.Env.
+func (e env) ActUntil(id model.PartitionID, epoch model.Epoch) (time.Duration, bool) {
+	return e.sched.member.ActUntil(id, epoch)
+}
+
 // Config implements host.Env.
 func (e env) Config() host.Config {
 	return e.sched.config.Snapshot()
--- a/internal/app/targets/owner_test.go
+++ b/internal/app/targets/owner_test.go
@@ -101,7 +101,10 @@
 	defer w.mu.Unlock()
 	return !w.stale
 }
-func (w *world) Summaries(model.PartitionKind) []*peerpb.PartitionSummary  { return nil }
+func (w *world) Summaries(model.PartitionKind) []*peerpb.PartitionSummary { return nil }
+func (w *world) ActUntil(model.PartitionID, model.Epoch) (time.Duration, bool) {
+	return w.clock.Now() + time.Hour, !w.mayNot
+}
 func (w *world) Demands() []*peerpb.TeamDemand                             { return nil }
 func (w *world) Peer() port.Peer                                           { return w.peers.Client("group", nil) }
 func (w *world) Clock() port.Clock                                         { return w.clock }
