--- /dev/null
+++ b/internal/app/program/program.go
@@ -0,0 +1,47 @@
+// Package program is the frame that the daemons share: their command line,
+// settings, signals and exit codes.
+package program
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// The exit codes of a daemon.
+const (
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+// cli is the command line of a daemon.
+type cli struct {
+	Settings string `help:"Settings file (TOML)." required:"" type:"existingfile" short:"s" aliases:"config"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+// Main reads the settings that the command line names and runs the daemon until
+// SIGINT or SIGTERM. It does not return on an error.
+func Main[Settings any](name, description string, load func(path string) (Settings, error), run func(ctx context.Context, settings Settings) error) {
+	var args cli
+	kong.Parse(&args, kong.Name(name), kong.Description(description))
+	settings, err := load(args.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitBadInput)
+	}
+	if args.Check {
+		return
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err = run(ctx, settings)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, name+":", err)
+		os.Exit(exitFailed)
+	}
+}
