List every held partition in the status; look at unchanged VM lists less

Ruled out: longer ticks; they would delay placement and takeovers. Change: status lists partitions without capacity too; a rack's owner takes over a VM list only when it was read anew; ended tasks are flushed on request and every 100 ms instead of 20.

--- a/internal/app/host/host.go
+++ b/internal/app/host/host.go
@@ -69,5 +69,14 @@
 	Demand() *peerpb.TeamDemand
 }
 
+// SameList reports whether two VM lists are the same reading. Readings are
+// never changed in place.
+func SameList(a, b []model.VM) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return false
+	}
+	return len(a) == len(b) && &a[0] == &b[0]
+}
+
 // Factory creates the partition of an id for the tenure that epoch names.
 type Factory func(id model.PartitionID, epoch model.Epoch, env Env) Partition
--- a/internal/app/rackowner/owner.go
+++ b/internal/app/rackowner/owner.go
@@ -63,6 +63,7 @@
 	rack    *rack.Rack
 	fence   *permit.Fence
 	vms     map[model.VMID]*vmState
+	list    []model.VM // the last VM list taken over
 	pending []*pendingOffer
 	starts  map[string]*start // unconfirmed starts by permit id
 	payload map[string]*peerpb.TaskOffer
--- a/internal/app/rackowner/vm.go
+++ b/internal/app/rackowner/vm.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/host"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/permit"
 	"github.com/balsamhitch/balsamhitch/internal/core/rack"
@@ -58,15 +59,21 @@
 
 // updateVMs takes over the VM list.
 func (o *Owner) updateVMs() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.env.Clock().Now()
+	list := o.env.VMs()
+	if host.SameList(list, o.list) {
+		o.expireSilent(now)
+		return
+	}
+	o.list = list
 	var mine []model.VM
-	for _, vm := range o.env.VMs() {
+	for _, vm := range list {
 		if vm.Partition() == o.id {
 			mine = append(mine, vm)
 		}
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := o.env.Clock().Now()
 	if !o.vmsChanged(mine) {
 		o.expireSilent(now)
 		return
--- a/internal/app/sched/serve.go
+++ b/internal/app/sched/serve.go
@@ -63,10 +63,16 @@
 	status := &peerpb.MemberStatus{
 		Member:         string(s.id),
 		ConfigRevision: s.config.Snapshot().Revision(),
-		Partitions:     s.manager.Summaries(),
 		Ready:          s.Ready(),
 	}
-	s.manager.Each(func(_ model.PartitionID, partition host.Partition) {
+	s.manager.Each(func(id model.PartitionID, partition host.Partition) {
+		summary := partition.Summary()
+		if summary == nil {
+			// Held without capacity of its own, as a team's or the system's.
+			_, epoch, _ := s.member.Owner(id)
+			summary = &peerpb.PartitionSummary{Partition: string(id), Epoch: uint64(epoch)}
+		}
+		status.Partitions = append(status.Partitions, summary)
 		if owner, ok := partition.(*teamowner.Owner); ok {
 			status.Teams = append(status.Teams, owner.Status())
 		}
--- a/internal/app/teamowner/owner.go
+++ b/internal/app/teamowner/owner.go
@@ -26,8 +26,9 @@
 	settleEvery = 50 * time.Millisecond
 	// scheduleEvery bounds the time that a waiting task goes unlooked at.
 	scheduleEvery = 10 * time.Millisecond
-	// flushEvery is the time between appends of ended tasks.
-	flushEvery = 20 * time.Millisecond
+	// flushEvery bounds the time until ended tasks are appended; each report of
+	// ends asks for it at once.
+	flushEvery = 100 * time.Millisecond
 	// callTimeout bounds one call to another partition.
 	callTimeout = 2 * time.Second
 )
