Forget old ended jobs in the team's owner; share one pause; drop dead code

The same pause stood in three packages; two methods had no use; the rack's invariant was not checked by the tests that run rack owners. No memory figure was taken.

--- a/internal/app/configwatch/checkpoint.go
+++ b/internal/app/configwatch/checkpoint.go
@@ -6,6 +6,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/core/config"
 )
 
@@ -25,10 +26,10 @@
 	for ctx.Err() == nil {
 		if err := w.Checkpoint(ctx); err != nil {
 			w.opt.Logger.WithError(err).Warn("Cannot write a checkpoint.")
-			sleep(ctx, checkpointRetry)
+			pause.Sleep(ctx, checkpointRetry)
 			continue
 		}
-		sleep(ctx, w.opt.CheckpointEvery)
+		pause.Sleep(ctx, w.opt.CheckpointEvery)
 	}
 }
 
--- a/internal/app/configwatch/follow.go
+++ b/internal/app/configwatch/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/core/config"
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
@@ -27,7 +28,7 @@
 		if !w.failing.Swap(true) && ctx.Err() == nil {
 			w.opt.Logger.WithError(err).Warn("Cannot read the configuration from the log.")
 		}
-		sleep(ctx, delay.NextBackOff())
+		pause.Sleep(ctx, delay.NextBackOff())
 	}
 }
 
@@ -125,12 +126,3 @@
 	}
 	return next
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/app/host/manager.go
+++ b/internal/app/host/manager.go
@@ -122,12 +122,6 @@
 	return t.partition, true
 }
 
-// Holds reports whether any partition of the kind runs here.
-func (m *Manager) Holds(id model.PartitionID) bool {
-	_, ok := m.Held(id)
-	return ok
-}
-
 // Each calls f for every running partition.
 func (m *Manager) Each(f func(model.PartitionID, Partition)) {
 	m.mu.RLock()
--- a/internal/app/jobtest/cell_test.go
+++ b/internal/app/jobtest/cell_test.go
@@ -247,6 +247,11 @@
 // judge fails the test for every broken promise.
 func (c *cell) judge() {
 	c.t.Helper()
+	for id, h := range c.holders {
+		if rack, ok := h.partition.(*rackowner.Owner); ok {
+			require.NoError(c.t, rack.Check(), "%s", id)
+		}
+	}
 	for _, broken := range history.Check(c.history.Since(0), history.Options{Unfinished: true}) {
 		c.t.Error(broken)
 	}
--- a/internal/app/journal/appender.go
+++ b/internal/app/journal/appender.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	core "github.com/balsamhitch/balsamhitch/internal/core/journal"
 	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
 	"github.com/balsamhitch/balsamhitch/internal/port"
@@ -76,7 +77,7 @@
 			return
 		case first := <-a.queue:
 			a.flush(ctx, a.collect(first))
-			sleep(ctx, a.gap())
+			pause.Sleep(ctx, a.gap())
 		}
 	}
 }
--- a/internal/app/journal/journal.go
+++ b/internal/app/journal/journal.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	core "github.com/balsamhitch/balsamhitch/internal/core/journal"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
@@ -83,20 +84,11 @@
 		if core.ErrIncomplete.Has(err) || port.LogTruncated.Has(err) {
 			return Error.Wrap(err)
 		}
-		sleep(ctx, delay.NextBackOff())
+		pause.Sleep(ctx, delay.NextBackOff())
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (j *Journal) step(ctx context.Context) error {
 	j.mu.Lock()
 	loaded := j.fold != nil
--- a/internal/app/membership/cluster_test.go
+++ b/internal/app/membership/cluster_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/ownership/ownershiptest"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
@@ -60,7 +61,7 @@
 
 // drainEffects waits until no effect of the partition is in flight.
 func (n *node) drainEffects(ctx context.Context, p model.PartitionID, e model.Epoch) {
-	for idle := false; ctx.Err() == nil && !idle; wait(ctx, time.Millisecond) {
+	for idle := false; ctx.Err() == nil && !idle; pause.Sleep(ctx, time.Millisecond) {
 		n.mu.Lock()
 		n.drained[p] = e
 		idle = n.inFlight[p] == 0
@@ -164,7 +165,7 @@
 // arrives after the deadline.
 func (c *cluster) effects(ctx context.Context, n *node) {
 	const every, delay, flight = 200 * time.Millisecond, 30 * time.Millisecond, time.Millisecond
-	for ; ctx.Err() == nil; wait(ctx, every) {
+	for ; ctx.Err() == nil; pause.Sleep(ctx, every) {
 		for p, e := range n.acts.Load().held {
 			until, ok := n.ActUntil(p, e)
 			deadline := time.Now().Add(until - n.opt.Clock.Now())
--- a/internal/app/membership/follower.go
+++ b/internal/app/membership/follower.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/ownership"
 	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
@@ -73,9 +74,9 @@
 
 // follow reads until the context ends.
 func (f *follower) follow(ctx context.Context) error {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = readRetryFirst
-	pause.MaxInterval = readRetryMost
+	delay := backoff.NewExponentialBackOff()
+	delay.InitialInterval = readRetryFirst
+	delay.MaxInterval = readRetryMost
 	failing := false
 	for ctx.Err() == nil {
 		err := f.readOnce(ctx)
@@ -84,14 +85,14 @@
 				f.logger.Info("log reads work again")
 			}
 			failing = false
-			pause.Reset()
+			delay.Reset()
 			continue
 		}
 		if !failing && ctx.Err() == nil {
 			f.logger.WithError(err).Warn("cannot read the log")
 		}
 		failing = true
-		wait(ctx, pause.NextBackOff())
+		pause.Sleep(ctx, delay.NextBackOff())
 	}
 	return nil
 }
@@ -239,13 +240,3 @@
 	}
 	return infos
 }
-
-// wait sleeps for d or until the context ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/app/membership/handover.go
+++ b/internal/app/membership/handover.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/ownership"
 	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
@@ -184,6 +185,6 @@
 		if ctx.Err() != nil {
 			return NotHandedOver.New("%d partitions are still held: %w", left, ctx.Err())
 		}
-		wait(ctx, handoverPoll)
+		pause.Sleep(ctx, handoverPoll)
 	}
 }
--- /dev/null
+++ b/internal/app/pause/pause.go
@@ -0,0 +1,17 @@
+// Package pause waits between attempts.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/app/rackowner/serve.go
+++ b/internal/app/rackowner/serve.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/host"
-	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/rack"
 	"github.com/balsamhitch/balsamhitch/internal/pb/convert"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
@@ -160,10 +159,3 @@
 		o.act(ctx, state.vm.Address, []rack.Action{{VM: held.VM, Task: attempt, Action: port.ActionStop}})
 	}
 }
-
-// Held returns what the rack holds for a team, for tests.
-func (o *Owner) Held(team model.TeamID) []rack.Reservation {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.rack.Held(team)
-}
--- a/internal/app/teamowner/owner.go
+++ b/internal/app/teamowner/owner.go
@@ -176,7 +176,9 @@
 	case core.EventCancelled:
 		o.stopTasks(o.state.Cancel(event.Job.Job.ID))
 		o.signal(o.flush)
-	case core.EventIgnored, core.EventDuplicate, core.EventEnded, core.EventTasks:
+	case core.EventEnded:
+		o.state.ForgetJob(event.Forgotten)
+	case core.EventIgnored, core.EventDuplicate, core.EventTasks:
 	}
 	if waiting := o.appended[event.Record]; waiting != nil {
 		delete(o.appended, event.Record)
--- a/internal/core/journal/fold.go
+++ b/internal/core/journal/fold.go
@@ -49,6 +49,9 @@
 	Job    *JobState // the earlier job for a duplicate
 	Tasks  *logpb.TasksEnded
 	Intent *logpb.Intent
+	// Forgotten is an old ended job that the fold no longer keeps; empty for
+	// none.
+	Forgotten model.JobID
 }
 
 // TaskMark is what the journal knows of a task.
@@ -211,8 +214,7 @@
 	job.State = record.GetState()
 	job.Detail = record.GetDetail()
 	state.ended = append(state.ended, job.Job.ID)
-	state.forgetOldest()
-	return Event{Kind: EventEnded, Team: team, Job: job}
+	return Event{Kind: EventEnded, Team: team, Job: job, Forgotten: state.forgetOldest()}
 }
 
 func (f *Fold) cancel(record *logpb.JobCancelled) Event {
@@ -286,10 +288,10 @@
 	}
 }
 
-// forgetOldest drops ended jobs beyond the bound.
-func (t *teamState) forgetOldest() {
+// forgetOldest drops the oldest ended job beyond the bound and returns it.
+func (t *teamState) forgetOldest() model.JobID {
 	if len(t.ended) <= maxEnded {
-		return
+		return ""
 	}
 	id := t.ended[0]
 	t.ended = t.ended[1:]
@@ -298,6 +300,7 @@
 	}
 	delete(t.jobs, id)
 	t.compactOrder()
+	return id
 }
 
 // compactOrder drops forgotten jobs from the order once they are the larger
--- a/internal/core/journal/fold_test.go
+++ b/internal/core/journal/fold_test.go
@@ -118,6 +118,23 @@
 	assert.Len(t, fold.Jobs("a"), 1)
 }
 
+func TestOldEndedJobsAreForgottenAndNamed(t *testing.T) {
+	fold := NewFold()
+	for i := range maxEnded + 1 {
+		id := fmt.Sprint("j", i)
+		fold.Apply(encode(t, accepted(t, model.Job{ID: model.JobID(id), Team: "a", Tasks: 1})))
+		event := fold.Apply(encode(t, &logpb.JournalRecord{Version: Version, Body: &logpb.JournalRecord_JobEnded{
+			JobEnded: &logpb.JobEnded{JobId: id, Team: "a", State: "done"},
+		}}))
+		if i < maxEnded {
+			assert.Empty(t, event.Forgotten)
+		} else {
+			assert.Equal(t, model.JobID("j0"), event.Forgotten)
+		}
+	}
+	assert.Len(t, fold.Jobs("a"), maxEnded)
+}
+
 func TestForeignAndNewerRecordsAreCounted(t *testing.T) {
 	fold := NewFold()
 	assert.Equal(t, EventIgnored, fold.Apply([]byte{0xff, 0x01}).Kind)
