--- a/internal/adapter/httpcall/httpcall.go
+++ b/internal/adapter/httpcall/httpcall.go
@@ -28,6 +28,9 @@
 const (
 	dialTimeout     = 2 * time.Second
 	idleTimeout     = 30 * time.Second
+	// A peer that is gone without a word is noticed within about 3 s.
+	keepAliveTime   = time.Second
+	keepAliveProbes = 2
 	maxIdleConns    = 1024
 	maxErrorDetail  = 512 // bytes of an error body that are kept
 	defaultMaxReply = 64 << 20
@@ -51,7 +54,9 @@
 // New returns a Caller that keeps up to connsPerHost connections to each host;
 // zero means no limit.
 func New(connsPerHost int) *Caller {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveProbes,
+	}}
 	idlePerHost := connsPerHost
 	if idlePerHost == 0 {
 		idlePerHost = http.DefaultMaxIdleConnsPerHost * 8
@@ -77,6 +82,10 @@
 	c.client.CloseIdleConnections()
 }
 
+// Drop closes the connections that are not in use. After a call without an
+// answer the others to the same host may be as silent.
+func (c *Caller) Drop() { c.client.CloseIdleConnections() }
+
 // Do sends the request and reads the whole answer. An error of type
 // port.NotStarted proves that nothing was sent. An answer with an error status
 // is returned as it is; see Failure.
--- /dev/null
+++ b/internal/app/advice/pool.go
@@ -0,0 +1,132 @@
+// Package advice spreads questions to the placement policy over the cell's
+// nodes. The policy serves one call at a time for each calling VM, so the owner
+// alone could not ask often enough.
+package advice
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// downTime is how long a node that did not answer is asked nothing.
+const downTime = 2 * time.Second
+
+// Pool asks through the node that is expected to answer first. It is safe for
+// concurrent use.
+type Pool struct {
+	Node    string
+	Local   port.Advisor
+	Peers   port.Peer
+	Members func() map[string]string // peer addresses by node
+	Clock   port.Clock
+
+	mu      sync.Mutex
+	helpers map[string]*helper
+}
+
+type helper struct {
+	busyUntil time.Duration // expected
+	downUntil time.Duration
+}
+
+var _ port.Advisor = (*Pool)(nil)
+
+// Ask implements port.Advisor. If another node does not answer, the question
+// goes through this one.
+func (p *Pool) Ask(ctx context.Context, query dispatch.AdviceQuery) ([]dispatch.Approval, time.Duration, error) {
+	node, address := p.pick(query.Expected)
+	if node == p.Node {
+		return p.Local.Ask(ctx, query)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, 2*query.Expected+500*time.Millisecond)
+	approved, validity, err := p.askPeer(callCtx, address, query)
+	cancel()
+	if err == nil || ctx.Err() != nil {
+		return approved, validity, err
+	}
+	p.mu.Lock()
+	p.helpers[node].downUntil = p.Clock.Now() + downTime
+	p.mu.Unlock()
+	return p.Local.Ask(ctx, query)
+}
+
+// pick chooses the node whose queue is expected to be empty first and adds the
+// question to it.
+func (p *Pool) pick(expected time.Duration) (node, address string) {
+	members := p.Members()
+	members[p.Node] = ""
+	now := p.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.helpers == nil {
+		p.helpers = map[string]*helper{}
+	}
+	node = p.Node
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		h := p.helper(name)
+		if name != p.Node && now < h.downUntil {
+			continue
+		}
+		if h.busyUntil < p.helper(node).busyUntil {
+			node = name
+		}
+	}
+	chosen := p.helper(node)
+	chosen.busyUntil = max(chosen.busyUntil, now) + expected
+	return node, members[node]
+}
+
+func (p *Pool) helper(node string) *helper {
+	h, ok := p.helpers[node]
+	if !ok {
+		h = &helper{}
+		p.helpers[node] = h
+	}
+	return h
+}
+
+func (p *Pool) askPeer(ctx context.Context, address string, query dispatch.AdviceQuery) ([]dispatch.Approval, time.Duration, error) {
+	message := &peerpb.AdviceQuery{Job: string(query.Job), Occurrence: int32(query.Occurrence), Step: int32(query.Step)}
+	for _, worker := range query.Workers {
+		message.Workers = append(message.Workers, string(worker))
+	}
+	reply, err := p.Peers.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_Advice{Advice: message}})
+	if err != nil {
+		return nil, 0, err
+	}
+	answer := reply.GetAdvice()
+	if answer == nil {
+		return nil, 0, port.NotStarted.New("node at %s gave no advice", address)
+	}
+	approved := make([]dispatch.Approval, 0, len(answer.GetApproved()))
+	for _, a := range answer.GetApproved() {
+		approved = append(approved, dispatch.Approval{Worker: model.VMID(a.GetWorker()), Ticket: a.GetTicket()})
+	}
+	return approved, time.Duration(answer.GetValidityMs()) * time.Millisecond, nil
+}
+
+// Serve answers a question of another node. It returns nil if the policy did
+// not answer.
+func Serve(ctx context.Context, local port.Advisor, message *peerpb.AdviceQuery) *peerpb.Response {
+	query := dispatch.AdviceQuery{Job: model.JobID(message.GetJob()), Occurrence: int(message.GetOccurrence()), Step: int(message.GetStep())}
+	for _, worker := range message.GetWorkers() {
+		query.Workers = append(query.Workers, model.VMID(worker))
+	}
+	approved, validity, err := local.Ask(ctx, query)
+	if err != nil {
+		return nil
+	}
+	reply := &peerpb.AdviceReply{ValidityMs: validity.Milliseconds()}
+	for _, a := range approved {
+		reply.Approved = append(reply.Approved, &peerpb.AdviceReply_Approval{Worker: string(a.Worker), Ticket: a.Ticket})
+	}
+	return &peerpb.Response{Body: &peerpb.Response_Advice{Advice: reply}}
+}
--- /dev/null
+++ b/internal/app/dispatcher/commit.go
@@ -0,0 +1,198 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/replica"
+	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// commitLoop decides, makes the decisions durable and gives the orders, until
+// the tenure ends.
+func (t *tenure) commitLoop(ctx context.Context) {
+	tick := time.NewTicker(idleTick)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.kick:
+		case <-tick.C:
+		}
+		if err := t.round(ctx); err != nil {
+			t.cancel(err)
+			return
+		}
+		if sleep(ctx, commitGap) != nil {
+			return
+		}
+	}
+}
+
+// round makes one round of decisions durable. An error ends the tenure.
+func (t *tenure) round(ctx context.Context) error {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	t.engine.Schedule(now, t.Clock.Wall())
+	batch := t.engine.Take()
+	stops := t.engine.TakeStops()
+	queries := t.engine.TakeQueries()
+	events := t.engine.TakeEvents()
+	stale := t.stale
+	t.stale = nil
+	t.mu.Unlock()
+
+	t.log(events)
+	for _, stop := range stops {
+		t.submit(func() { t.stop(ctx, stop) })
+	}
+	for _, query := range queries {
+		go t.advise(ctx, query) // waits for the policy; their number is that of the waiting steps
+	}
+	records, err := t.records(&batch, stale, now)
+	if err != nil {
+		return err
+	}
+	if len(records) > 0 {
+		if _, err := t.append(ctx, records); err != nil {
+			return err
+		}
+	}
+	t.carryOut(ctx, &batch)
+	if t.owner.leaving.Load() {
+		return Error.New("the node is leaving")
+	}
+	return nil
+}
+
+func (t *tenure) records(batch *dispatch.Batch, stale []model.JobID, now time.Duration) ([]port.KeyedRecord, error) {
+	records, err := replica.BatchRecords(batch, t.Clock.Wall())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	for _, id := range stale {
+		records = append(records, port.KeyedRecord{Key: replica.SubmissionKey(id)}, port.KeyedRecord{Key: replica.CancellationKey(id)})
+	}
+	if now-t.cleanedAt > cleanInterval {
+		t.cleanedAt = now
+		records = append(records, replica.DropEnds(t.Replica.EndedBefore(t.Clock.Wall().Add(-t.EndsKept)))...)
+	}
+	leaving := t.owner.leaving.Load()
+	if now-t.signedAt > signInterval || leaving {
+		t.signedAt = now
+		sign, err := replica.OwnerRecord(t.epoch, t.Node, leaving)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		records = append(records, sign)
+	}
+	return records, nil
+}
+
+// carryOut gives the orders of a batch that is durable.
+func (t *tenure) carryOut(ctx context.Context, batch *dispatch.Batch) {
+	if len(batch.Acks) > 0 {
+		t.mu.Lock()
+		for _, ack := range batch.Acks {
+			t.engine.Acked(ack)
+		}
+		t.mu.Unlock()
+		t.announceCommit()
+	}
+	for _, order := range batch.Starts {
+		t.submit(func() { t.start(ctx, order) })
+	}
+}
+
+func (t *tenure) submit(task func()) {
+	if err := t.Pool.Submit(task); err != nil {
+		t.Logger.WithError(err).Warn("worker pool is full, the order runs on a goroutine of its own")
+		go task()
+	}
+}
+
+func (t *tenure) announceCommit() {
+	t.committedMu.Lock()
+	defer t.committedMu.Unlock()
+	close(t.committed)
+	t.committed = make(chan struct{})
+}
+
+// nextCommit returns a channel that is closed at the next commit of ends.
+func (t *tenure) nextCommit() <-chan struct{} {
+	t.committedMu.Lock()
+	defer t.committedMu.Unlock()
+	return t.committed
+}
+
+// append writes under the tenure's epoch. It repeats an append of unknown
+// outcome until the log answers: the sequence number keeps it from taking
+// effect twice. An error ends the tenure.
+func (t *tenure) append(ctx context.Context, records []port.KeyedRecord) (uint64, error) {
+	producer := port.Producer{Name: producerName, Epoch: t.epoch, Sequence: t.sequence}
+	lost := false
+	for {
+		sent := t.Clock.Now()
+		callCtx, cancel := context.WithTimeout(ctx, appendTime)
+		offset, err := t.Log.Append(callCtx, replica.CellTopic, records, port.AppendOptions{Producer: &producer})
+		cancel()
+		if err == nil {
+			t.sequence++
+			t.lastAck.Store(int64(sent))
+			if lost {
+				t.Logger.WithField("waited_ms", (t.Clock.Now() - sent).Milliseconds()).Info("cell log takes appends again")
+			}
+			return offset, nil
+		}
+		if port.Fenced.Has(err) || port.Conflict.Has(err) {
+			return 0, err
+		}
+		if ctx.Err() != nil {
+			return 0, context.Cause(ctx)
+		}
+		if !lost {
+			lost = true
+			t.Logger.WithError(err).Warn("cell log took no append, trying again")
+		}
+		if err := sleep(ctx, appendPause); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// advise asks the placement policy on behalf of a step.
+func (t *tenure) advise(ctx context.Context, query dispatch.AdviceQuery) {
+	asked := t.Clock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, 2*query.Expected+2*time.Second)
+	approved, validity, err := t.Advice.Ask(callCtx, query)
+	cancel()
+	if err != nil && ctx.Err() == nil {
+		t.Logger.WithError(err).WithField("step", query.StepName()).Info("placement policy did not answer")
+	}
+	t.mu.Lock()
+	t.engine.Advised(query, approved, validity, asked, t.Clock.Now(), err)
+	t.mu.Unlock()
+	t.wake()
+}
+
+// log writes one line for each decision.
+func (t *tenure) log(events []dispatch.Event) {
+	for _, event := range events {
+		fields := logrus.Fields{"job": event.Job, "epoch": t.epoch}
+		if event.Task != "" {
+			fields["task"] = event.Task
+		}
+		if event.Worker != "" {
+			fields["worker"] = event.Worker
+		}
+		if event.Detail != "" {
+			fields["detail"] = event.Detail
+		}
+		t.Logger.WithFields(fields).Info(event.Kind)
+	}
+}
--- /dev/null
+++ b/internal/app/dispatcher/dispatcher.go
@@ -0,0 +1,251 @@
+// Package dispatcher does the work of the cell's owner: it takes submissions
+// from the cell's log, decides with the dispatch engine, makes the decisions
+// durable and then gives the orders to the workers.
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
+	"github.com/balsamhitch/balsamhitch/internal/app/replica"
+	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/policy"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// Error is the class of errors that end a tenure.
+var Error = errs.Class("dispatcher")
+
+// Options are what a Dispatcher needs. All fields are required.
+type Options struct {
+	Node      string
+	Log       port.KeyedLog
+	Clock     port.Clock
+	Replica   *replica.Replica
+	Tail      *logtail.Tail
+	Policy    *policy.Holder
+	Workers   port.CellWorker
+	Directory port.WorkerDirectory
+	Advice    port.Advisor
+	Pool      *ants.Pool
+	Logger    logrus.FieldLogger
+	Engine    dispatch.Settings
+	// Lease is how long a worker's runs live without a word of the owner.
+	Lease time.Duration
+	// EndsKept is how long the end of a job can be asked for.
+	EndsKept time.Duration
+}
+
+// Dispatcher serves as the cell's owner, one tenure at a time.
+type Dispatcher struct {
+	options Options
+	owning  atomic.Bool
+	leaving atomic.Bool
+}
+
+// New returns a Dispatcher.
+func New(options Options) *Dispatcher { return &Dispatcher{options: options} }
+
+// Owning reports whether this node owns the cell.
+func (d *Dispatcher) Owning() bool { return d.owning.Load() }
+
+// Resign makes a tenure under way end at its next append.
+func (d *Dispatcher) Resign() { d.leaving.Store(true) }
+
+// Serve implements tenure.Owner.
+func (d *Dispatcher) Serve(ctx context.Context, epoch uint64) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t := &tenure{
+		Options:   d.options,
+		owner:     d,
+		epoch:     epoch,
+		cancel:    cancel,
+		contacts:  map[model.VMID]*contact{},
+		kick:      make(chan struct{}, 1),
+		committed: make(chan struct{}),
+		engine:    dispatch.New(d.options.Engine),
+	}
+	d.owning.Store(true)
+	defer d.owning.Store(false)
+	if err := t.takeOver(ctx); err != nil {
+		return err
+	}
+	defer d.options.Replica.Listen(nil, nil)
+	d.options.Policy.Notify(t.policyChanged)
+	var group sync.WaitGroup
+	group.Go(func() {
+		t.Directory.Follow(ctx, func(list []dispatch.WorkerInfo) { t.updateWorkers(ctx, &group, list) })
+	})
+	group.Go(func() { t.commitLoop(ctx) })
+	group.Wait()
+	return context.Cause(ctx)
+}
+
+// tenure is one time in office.
+type tenure struct {
+	Options
+	owner  *Dispatcher
+	epoch  uint64
+	cancel context.CancelCauseFunc
+
+	sequence  uint64 // of the next append
+	lastAck   atomic.Int64
+	signedAt  time.Duration // last sign of life, of the commit loop
+	cleanedAt time.Duration
+
+	mu     sync.Mutex // guards the engine
+	engine *dispatch.Engine
+
+	contactsMu sync.Mutex
+	contacts   map[model.VMID]*contact
+
+	kick        chan struct{}
+	committedMu sync.Mutex
+	committed   chan struct{} // closed at the next commit
+
+	stale []model.JobID // submissions that came again after the end; guarded by mu
+}
+
+const (
+	// takeOverTime bounds the time until the replica has the first sign.
+	takeOverTime = 3 * time.Second
+	appendTime   = time.Second // of one attempt
+	appendPause  = 50 * time.Millisecond
+	// signInterval is how often the owner shows that it can write.
+	signInterval = 400 * time.Millisecond
+	// commitGap lets decisions gather into one append.
+	commitGap = 8 * time.Millisecond
+	// idleTick is how often time alone may lead to a decision.
+	idleTick = 50 * time.Millisecond
+	// cleanInterval is how often old ends are dropped.
+	cleanInterval = 5 * time.Second
+	producerName  = "cell"
+	// renewLimit is how long leases are renewed without a word of the log. A
+	// new owner waits it out for workers that it does not reach.
+	renewLimit = 6 * time.Second
+)
+
+// takeOver fences the former owner and restores the jobs.
+func (t *tenure) takeOver(ctx context.Context) error {
+	began := t.Clock.Now()
+	record, err := replica.OwnerRecord(t.epoch, t.Node, false)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	offset, err := t.append(ctx, []port.KeyedRecord{record})
+	if err != nil {
+		return err
+	}
+	for t.Tail.Offset() <= offset {
+		if t.Clock.Now()-began > takeOverTime {
+			return Error.New("own first sign was not read back within %v", takeOverTime)
+		}
+		if err := sleep(ctx, 5*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	t.applyPolicy()
+	jobs := 0
+	t.Replica.Listen(t, func(j *replica.Job) {
+		jobs++
+		t.restore(j)
+	})
+	t.mu.Lock()
+	t.engine.Adopt()
+	t.mu.Unlock()
+	t.Logger.WithFields(logrus.Fields{"epoch": t.epoch, "jobs": jobs, "took_ms": (t.Clock.Now() - began).Milliseconds()}).Info("cell taken over")
+	return nil
+}
+
+func (t *tenure) restore(j *replica.Job) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if j.Submission == nil {
+		return
+	}
+	if j.State.Ended() && len(j.Tasks) == 0 {
+		t.stale = append(t.stale, j.ID)
+		return
+	}
+	wall := t.Clock.Wall()
+	t.engine.AddJob(j.ID, replica.Spec(j.Submission), wall)
+	facts := make([]dispatch.TaskFact, 0, len(j.Tasks))
+	for name, record := range j.Tasks {
+		facts = append(facts, replica.Fact(name, record))
+	}
+	t.engine.Restore(j.ID, j.State, j.Occurrences, facts, wall)
+	if j.Cancelled {
+		t.engine.Cancel(j.ID)
+	}
+}
+
+// Submitted implements replica.Listener.
+func (t *tenure) Submitted(id model.JobID, submission *logpb.Submission) {
+	state, _ := t.Replica.State(id)
+	t.mu.Lock()
+	if state.Ended() {
+		if !t.engine.Known(id) {
+			t.stale = append(t.stale, id)
+		}
+	} else {
+		t.engine.AddJob(id, replica.Spec(submission), t.Clock.Wall())
+	}
+	t.mu.Unlock()
+	t.wake()
+}
+
+// Cancelled implements replica.Listener.
+func (t *tenure) Cancelled(id model.JobID) {
+	t.mu.Lock()
+	t.engine.Cancel(id)
+	t.mu.Unlock()
+	t.wake()
+}
+
+func (t *tenure) policyChanged() {
+	t.applyPolicy()
+	t.wake()
+}
+
+func (t *tenure) applyPolicy() {
+	snapshot := t.Policy.Get()
+	if snapshot == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.engine.SetPolicy(snapshot.Queues(), snapshot.Teams, snapshot.Out)
+}
+
+func (t *tenure) wake() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+// heard reports whether the log has confirmed this tenure within the time.
+func (t *tenure) heard(within time.Duration) bool {
+	return t.Clock.Now()-time.Duration(t.lastAck.Load()) < within
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/internal/app/intake/intake.go
@@ -0,0 +1,166 @@
+// Package intake serves callers: it checks who they are and where their call
+// leads, makes submissions and cancellations durable, and tells the state of
+// jobs from the node's replica.
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
+	"github.com/balsamhitch/balsamhitch/internal/app/replica"
+	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/policy"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// Outcome is what becomes of a call.
+type Outcome int
+
+// The outcomes of a call.
+const (
+	Done        Outcome = iota
+	Unavailable         // had no effect and never will; worth another try
+	Unknown             // may have an effect; to be repeated with the same id
+	NoKey               // the key is not in force
+	NoRoute             // nothing is configured there
+	NoJob               // no such job
+	Invalid             // the call can't be read
+)
+
+const (
+	appendTime  = 600 * time.Millisecond // of one attempt
+	appendPause = 40 * time.Millisecond
+	// giveUpAfter is how long the log is tried for one call.
+	giveUpAfter = 1500 * time.Millisecond
+	// staleAfter is how old the replica may be for "no such job".
+	staleAfter = 1500 * time.Millisecond
+)
+
+// Service serves the callers of one node. It is safe for concurrent use.
+type Service struct {
+	Policy  *policy.Holder
+	Log     port.KeyedLog
+	Replica *replica.Replica
+	Tail    *logtail.Tail
+	Clock   port.Clock
+	Logger  logrus.FieldLogger
+}
+
+// Call is a caller's call to a route.
+type Call struct {
+	Host string
+	Path string
+	Key  string
+}
+
+// Ready reports whether the node can serve callers.
+func (s *Service) Ready() bool {
+	return s.Policy.Get() != nil && s.Tail.Fresh() != 0
+}
+
+// Authorize finds the route of the call and the caller's team.
+func (s *Service) Authorize(call Call) (*policy.Route, string, Outcome) {
+	snapshot := s.Policy.Get()
+	if snapshot == nil {
+		return nil, "", Unavailable
+	}
+	route, ok := snapshot.Find(call.Host, call.Path)
+	if !ok {
+		return nil, "", NoRoute
+	}
+	team, known := snapshot.KeyTeam[call.Key]
+	if !known && !route.Open {
+		return nil, "", NoKey
+	}
+	return route, team, Done
+}
+
+// Submit makes the job durable. A job that is known already is left as it is.
+func (s *Service) Submit(ctx context.Context, id model.JobID, spec dispatch.JobSpec) Outcome {
+	if _, known := s.Replica.State(id); known {
+		return Done
+	}
+	spec.Submitted = s.Clock.Wall()
+	record, err := replica.SubmissionRecord(id, spec)
+	if err != nil {
+		s.Logger.WithError(err).WithField("job", id).Warn("submission can't be encoded")
+		return Invalid
+	}
+	outcome := s.append(ctx, id, record)
+	s.decided("submission", id, outcome, spec.Team)
+	return outcome
+}
+
+// Cancel makes the end of the job durable. The owner ignores it for a job that
+// it does not know.
+func (s *Service) Cancel(ctx context.Context, id model.JobID, team string) Outcome {
+	if state, known := s.Replica.State(id); known && state.Ended() {
+		return Done
+	}
+	record, err := replica.CancellationRecord(id, s.Clock.Wall())
+	if err != nil {
+		s.Logger.WithError(err).WithField("job", id).Warn("cancellation can't be encoded")
+		return Invalid
+	}
+	outcome := s.append(ctx, id, record)
+	s.decided("cancellation", id, outcome, team)
+	return outcome
+}
+
+// append tries the log until it answers or the time is up. The record is the
+// same each time, so that a late effect of an earlier try does no harm.
+func (s *Service) append(ctx context.Context, id model.JobID, record port.KeyedRecord) Outcome {
+	began := s.Clock.Now()
+	unknown := false
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, appendTime)
+		_, err := s.Log.Append(callCtx, replica.CellTopic, []port.KeyedRecord{record}, port.AppendOptions{})
+		cancel()
+		if err == nil {
+			return Done
+		}
+		if !port.Refused.Has(err) && !port.NotStarted.Has(err) {
+			unknown = true
+		}
+		if ctx.Err() != nil || s.Clock.Now()-began > giveUpAfter {
+			s.Logger.WithError(err).WithField("job", id).Debug("log did not take the record")
+			break
+		}
+		time.Sleep(appendPause)
+	}
+	if unknown {
+		return Unknown
+	}
+	return Unavailable
+}
+
+func (s *Service) decided(what string, id model.JobID, outcome Outcome, team string) {
+	fields := logrus.Fields{"job": id, "team": team, "policy_version": s.Policy.Get().Version}
+	switch outcome {
+	case Done:
+		s.Logger.WithFields(fields).Info(what + " accepted")
+	case Unknown:
+		s.Logger.WithFields(fields).Warn(what + " has an unknown outcome: the log did not answer")
+	default:
+		s.Logger.WithFields(fields).Warn(what + " refused: the log took no record")
+	}
+}
+
+// State tells the state of a job.
+func (s *Service) State(id model.JobID) (dispatch.JobState, Outcome) {
+	state, known := s.Replica.State(id)
+	if known {
+		return state, Done
+	}
+	if s.Clock.Now()-s.Tail.Fresh() > staleAfter {
+		return "", Unavailable
+	}
+	return "", NoJob
+}
+
+// Pending counts the queue's jobs of which nothing has started.
+func (s *Service) Pending(queue string) int { return s.Replica.Pending(queue) }
--- /dev/null
+++ b/internal/app/node/node.go
@@ -0,0 +1,234 @@
+// Package node puts together what one VM runs: the callers' service, the copy
+// of the cell's log, and the candidate for the cell's ownership.
+package node
+
+import (
+	"context"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/peer"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/sysclock"
+	"github.com/balsamhitch/balsamhitch/internal/app/advice"
+	"github.com/balsamhitch/balsamhitch/internal/app/dispatcher"
+	"github.com/balsamhitch/balsamhitch/internal/app/intake"
+	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
+	"github.com/balsamhitch/balsamhitch/internal/app/replica"
+	"github.com/balsamhitch/balsamhitch/internal/app/tenure"
+	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/policy"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+	"github.com/balsamhitch/balsamhitch/platform"
+)
+
+const (
+	// workerConnections is the most connections to one worker: one waits for
+	// ends, the others carry orders.
+	workerConnections = 12
+	orderPool         = 256 // orders in flight
+	// followerPace bounds the reads of a node that is not the owner.
+	followerPace = 100 * time.Millisecond
+	ownerPace    = 4 * time.Millisecond
+	policyPace   = 20 * time.Millisecond
+	// announceInterval is how often a node checks that its address is known.
+	announceInterval = 2 * time.Second
+	// lowShare is the processor share of a VM that lets the others claim first.
+	lowShare      = 0.35
+	lowShareDelay = 200 * time.Millisecond
+	// exitMargin is left between a node's exit and the platform's kill.
+	exitMargin = 1500 * time.Millisecond
+	// lingerTime is how long a leaving node takes calls on open connections.
+	lingerTime = 2500 * time.Millisecond
+	// memoryShare is the part of the VM's memory that the garbage collector
+	// keeps the heap within.
+	memoryShare = 0.6
+	// peerHandlers bounds the calls of other nodes served at once.
+	peerHandlers = 64
+)
+
+// Run serves until the context ends, then leaves in order.
+func Run(ctx context.Context, settings platform.Settings, logger logrus.FieldLogger) error {
+	debug.SetMemoryLimit(int64(settings.VM.MemoryMiB * memoryShare * (1 << 20)))
+	n, err := build(settings, logger)
+	if err != nil {
+		return err
+	}
+	return n.run(ctx)
+}
+
+type node struct {
+	settings platform.Settings
+	logger   logrus.FieldLogger
+	clock    port.Clock
+	store    *platform.Store
+	advisor  port.Advisor
+	policy   *policy.Holder
+	replica  *replica.Replica
+	cell     *logtail.Tail
+	operator *logtail.Tail
+	owner    *dispatcher.Dispatcher
+	ingress  *platform.Ingress
+	peers    *peer.Server
+
+	leaving   bool
+	leavingMu sync.Mutex
+}
+
+func build(settings platform.Settings, logger logrus.FieldLogger) (*node, error) {
+	n := &node{
+		settings: settings, logger: logger, clock: sysclock.Clock{},
+		store: platform.NewStore(settings.StoreAddress), advisor: platform.NewAdvisor(settings.PolicyAddress),
+		policy: &policy.Holder{},
+	}
+	n.replica = replica.New(n.clock, logger.WithField("part", "replica"))
+	n.cell = &logtail.Tail{
+		Log: n.store, Clock: n.clock, Topic: replica.CellTopic, Follower: n.replica,
+		Logger: logger.WithField("part", "replica"), Pace: n.cellPace,
+	}
+	n.operator = &logtail.Tail{
+		Log: n.store, Clock: n.clock, Topic: platform.OperatorTopic, Logger: logger.WithField("part", "policy"),
+		Follower: &platform.Operator{Holder: n.policy, Logger: logger.WithField("part", "policy")},
+		Pace:     func() time.Duration { return policyPace },
+	}
+	pool, err := ants.NewPool(orderPool)
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	calls := peer.New(peer.Options{Streams: 1, Logger: logger})
+	n.owner = dispatcher.New(dispatcher.Options{
+		Node: settings.Node, Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cell, Policy: n.policy,
+		Workers:   platform.NewWorkers(workerConnections),
+		Directory: &platform.Directory{Log: n.store, Clock: n.clock, Logger: logger.WithField("part", "directory")},
+		Advice:    &advice.Pool{Node: settings.Node, Local: n.advisor, Peers: calls, Members: n.replica.Members, Clock: n.clock},
+		Pool:      pool, Logger: logger.WithField("part", "dispatcher"),
+		Engine: dispatch.Settings{
+			StopTime: settings.Bounds.Stop(), Early: settings.Bounds.Early(),
+			ContactTime: contactTime, TicketMargin: ticketMargin,
+		},
+		Lease: min(settings.Bounds.LongestLease(), longestLease), EndsKept: settings.Bounds.JobEndKept() + endsMargin,
+	})
+	service := &intake.Service{
+		Policy: n.policy, Log: n.store, Replica: n.replica, Tail: n.cell, Clock: n.clock,
+		Logger: logger.WithField("part", "intake"),
+	}
+	n.ingress = platform.NewIngress(service, settings.CallersAddress, settings.ReadinessAddress)
+	return n, nil
+}
+
+const (
+	// contactTime is how old a worker's last word may be for a start.
+	contactTime = 1800 * time.Millisecond
+	// ticketMargin covers the time from a decision to the worker.
+	ticketMargin = 250 * time.Millisecond
+	// longestLease bounds the time until the work of a dead worker is done
+	// elsewhere; it must outlast a change of owner.
+	longestLease = 5 * time.Second
+	endsMargin   = 30 * time.Second
+)
+
+func (n *node) cellPace() time.Duration {
+	if n.owner.Owning() {
+		return ownerPace
+	}
+	return followerPace
+}
+
+func (n *node) run(ctx context.Context) error {
+	server, err := peer.Listen(n.settings.PeerAddress, n, peer.Options{Handlers: peerHandlers, Logger: n.logger})
+	if err != nil {
+		return err
+	}
+	n.peers = server
+	n.logger.WithField("settings", n.settings).Info("node starts")
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	candidate := &tenure.Candidate{
+		Node: n.settings.Node, Address: n.settings.PeerAddress, Handicap: n.handicap(),
+		Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cell, Owner: n.owner,
+		Logger: n.logger.WithField("part", "tenure"), Leaving: n.isLeaving,
+	}
+	go n.operator.Run(work)
+	go n.cell.Run(work)
+	go n.announce(work)
+	go candidate.Run(work)
+	failed := make(chan error, 1)
+	go func() { failed <- n.ingress.Run() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		n.leave()
+		return nil
+	}
+}
+
+func (n *node) handicap() time.Duration {
+	if n.settings.VM.ProcessorShare*max(1, n.settings.VM.Cores) < lowShare {
+		return lowShareDelay
+	}
+	return 0
+}
+
+func (n *node) isLeaving() bool {
+	n.leavingMu.Lock()
+	defer n.leavingMu.Unlock()
+	return n.leaving
+}
+
+// leave hands the cell over and goes on serving open connections until callers
+// have had the time to find other nodes.
+func (n *node) leave() {
+	began := n.clock.Now()
+	n.leavingMu.Lock()
+	n.leaving = true
+	n.leavingMu.Unlock()
+	n.owner.Resign()
+	n.ingress.Leave()
+	n.logger.Info("node leaves")
+	for {
+		elapsed := n.clock.Now() - began
+		if elapsed > n.settings.Bounds.Shutdown()-exitMargin || elapsed > lingerTime && n.ingress.Idle() {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	n.logger.Info("node stops")
+}
+
+// announce keeps the node's peer address on the cell's log.
+func (n *node) announce(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		if n.cell.Fresh() != 0 && n.replica.Members()[n.settings.Node] != n.settings.PeerAddress && !n.isLeaving() {
+			record, err := replica.MemberRecord(n.settings.Node, n.settings.PeerAddress)
+			if err == nil {
+				_, err = n.store.Append(ctx, replica.CellTopic, []port.KeyedRecord{record}, port.AppendOptions{})
+			}
+			if err != nil {
+				n.logger.WithError(err).Info("node's address was not announced, trying again")
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Serve implements port.PeerHandler.
+func (n *node) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+	if query := request.GetAdvice(); query != nil {
+		if response := advice.Serve(ctx, n.advisor, query); response != nil {
+			return response
+		}
+	}
+	return &peerpb.Response{Body: &peerpb.Response_Ack{Ack: &peerpb.Ack{}}}
+}
--- /dev/null
+++ b/internal/app/replica/keys.go
@@ -0,0 +1,53 @@
+package replica
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+// The topics of a cell. Their names begin as the platform asks of keyed topics.
+const (
+	CellTopic  = "keyed.cell"
+	OwnerTopic = "keyed.owner"
+)
+
+// The kinds of key in the cell's topic, each followed by a name.
+const (
+	submissionPrefix   = "j/"
+	cancellationPrefix = "c/"
+	endPrefix          = "s/"
+	taskPrefix         = "t/"
+	occurrencePrefix   = "d/"
+	memberPrefix       = "m/"
+	// OwnerKey is the key of the owner's sign of life.
+	OwnerKey = "o"
+)
+
+// SubmissionKey is the key of a job's submission.
+func SubmissionKey(job model.JobID) string { return submissionPrefix + string(job) }
+
+// CancellationKey is the key of a job's cancellation.
+func CancellationKey(job model.JobID) string { return cancellationPrefix + string(job) }
+
+// EndKey is the key of a job's final state.
+func EndKey(job model.JobID) string { return endPrefix + string(job) }
+
+// TaskKey is the key of the latest decision about a task.
+func TaskKey(name dispatch.TaskName) string { return taskPrefix + name.String() }
+
+// OccurrenceKey is the key of a completed occurrence.
+func OccurrenceKey(job model.JobID, number int) string {
+	return occurrencePrefix + string(job) + "." + strconv.Itoa(number)
+}
+
+// MemberKey is the key of a node's address.
+func MemberKey(node string) string { return memberPrefix + node }
+
+func parseOccurrence(name string) (model.JobID, int, bool) {
+	job, text, ok := strings.Cut(name, ".")
+	number, err := strconv.Atoi(text)
+	return model.JobID(job), number, ok && err == nil && number >= 0
+}
--- /dev/null
+++ b/internal/app/replica/records.go
@@ -0,0 +1,212 @@
+package replica
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// SubmissionRecord returns the record of an accepted job.
+func SubmissionRecord(id model.JobID, spec dispatch.JobSpec) (port.KeyedRecord, error) {
+	submission := &logpb.Submission{
+		Team:            spec.Team,
+		Payload:         spec.Payload,
+		Queue:           queueToWire(spec.Queue),
+		SubmittedUnixMs: spec.Submitted.UnixMilli(),
+		IntervalMs:      spec.Interval.Milliseconds(),
+		Repetitions:     int32(spec.Repetitions),
+	}
+	if spec.Repetitions > 0 {
+		submission.FirstRunUnixMs = spec.FirstRun.UnixMilli()
+	}
+	for i := range spec.Steps {
+		submission.Steps = append(submission.Steps, stepToWire(&spec.Steps[i]))
+	}
+	return message(SubmissionKey(id), submission)
+}
+
+// CancellationRecord returns the record of a cancelled job.
+func CancellationRecord(id model.JobID, at time.Time) (port.KeyedRecord, error) {
+	return message(CancellationKey(id), &logpb.Cancellation{CancelledUnixMs: at.UnixMilli()})
+}
+
+// OwnerRecord returns an owner's sign of life.
+func OwnerRecord(epoch uint64, node string, resigned bool) (port.KeyedRecord, error) {
+	return message(OwnerKey, &logpb.OwnerRecord{Epoch: epoch, Node: node, Resigned: resigned})
+}
+
+// MemberRecord returns the record of a node's peer address.
+func MemberRecord(node, address string) (port.KeyedRecord, error) {
+	return message(MemberKey(node), &logpb.MemberRecord{Address: address})
+}
+
+// BatchRecords returns the records that make a batch of decisions durable.
+func BatchRecords(batch *dispatch.Batch, now time.Time) ([]port.KeyedRecord, error) {
+	forgotten := make(map[model.JobID]bool, len(batch.Forgotten))
+	for _, job := range batch.Forgotten {
+		forgotten[job.Job] = true
+	}
+	var list recordList
+	last := make(map[dispatch.TaskName]int, len(batch.Tasks))
+	for i, fact := range batch.Tasks {
+		last[fact.Task] = i
+	}
+	for i, fact := range batch.Tasks {
+		if last[fact.Task] == i && !forgotten[fact.Task.Job] {
+			list.add(message(TaskKey(fact.Task), taskToWire(fact)))
+		}
+	}
+	for _, done := range batch.Occurrences {
+		if !forgotten[done.Job] {
+			list.add(message(OccurrenceKey(done.Job, done.Number), &logpb.OccurrenceRecord{CompletedUnixMs: now.UnixMilli()}))
+		}
+	}
+	for _, end := range batch.Ended {
+		list.add(message(EndKey(end.Job), &logpb.JobRecord{
+			State: endToWire[end.State], EndedUnixMs: now.UnixMilli(), Team: end.Team,
+		}))
+	}
+	for _, job := range batch.Forgotten {
+		list.drop(SubmissionKey(job.Job))
+		list.drop(CancellationKey(job.Job))
+		for _, task := range job.Tasks {
+			list.drop(TaskKey(task))
+		}
+	}
+	return list.records, list.err
+}
+
+// DropEnds returns the records that drop the ends of the jobs.
+func DropEnds(ids []model.JobID) []port.KeyedRecord {
+	records := make([]port.KeyedRecord, 0, len(ids))
+	for _, id := range ids {
+		records = append(records, port.KeyedRecord{Key: EndKey(id)})
+	}
+	return records
+}
+
+type recordList struct {
+	records []port.KeyedRecord
+	err     error
+}
+
+func (l *recordList) add(record port.KeyedRecord, err error) {
+	if err != nil {
+		l.err = err
+		return
+	}
+	l.records = append(l.records, record)
+}
+
+func (l *recordList) drop(key string) { l.records = append(l.records, port.KeyedRecord{Key: key}) }
+
+func message(key string, m proto.Message) (port.KeyedRecord, error) {
+	value, err := proto.Marshal(m)
+	return port.KeyedRecord{Key: key, Value: value}, err
+}
+
+// Spec returns the job that a submission describes.
+func Spec(s *logpb.Submission) dispatch.JobSpec {
+	spec := dispatch.JobSpec{
+		Team:        s.GetTeam(),
+		Payload:     s.GetPayload(),
+		Queue:       queueFromWire(s.GetQueue()),
+		Submitted:   time.UnixMilli(s.GetSubmittedUnixMs()),
+		Interval:    milliseconds(s.GetIntervalMs()),
+		Repetitions: int(s.GetRepetitions()),
+	}
+	if s.GetFirstRunUnixMs() != 0 {
+		spec.FirstRun = time.UnixMilli(s.GetFirstRunUnixMs())
+	}
+	for _, step := range s.GetSteps() {
+		spec.Steps = append(spec.Steps, stepFromWire(step))
+	}
+	return spec
+}
+
+// Fact returns the decision that a task's record holds.
+func Fact(name dispatch.TaskName, r *logpb.TaskRecord) dispatch.TaskFact {
+	return dispatch.TaskFact{
+		Task: name, Phase: phaseFromWire[r.GetPhase()], Run: r.GetRun(),
+		Worker: model.VMID(r.GetWorker()), Life: r.GetLife(),
+		Failures: int(r.GetFailures()), Checkpoint: r.GetCheckpoint(),
+	}
+}
+
+func taskToWire(f dispatch.TaskFact) *logpb.TaskRecord {
+	return &logpb.TaskRecord{
+		Phase: phaseToWire[f.Phase], Run: f.Run, Worker: string(f.Worker), Life: f.Life,
+		Failures: uint32(f.Failures), Checkpoint: f.Checkpoint,
+	}
+}
+
+func queueToWire(q dispatch.Queue) *logpb.QueuePolicy {
+	return &logpb.QueuePolicy{
+		Name: q.Name, Service: q.Service, Priority: int32(q.Priority), MaxAttempts: int32(q.MaxAttempts),
+		Slowdown: q.Slowdown, TargetMs: q.Target.Milliseconds(), Advised: q.Advised,
+		AdviceDecisionUs: q.AdviceDecision.Microseconds(), AdvicePerWorkerUs: q.AdvicePerWorker.Microseconds(),
+	}
+}
+
+func queueFromWire(q *logpb.QueuePolicy) dispatch.Queue {
+	return dispatch.Queue{
+		Name: q.GetName(), Service: q.GetService(), Priority: int(q.GetPriority()), MaxAttempts: int(q.GetMaxAttempts()),
+		Slowdown: q.GetSlowdown(), Target: milliseconds(q.GetTargetMs()), Advised: q.GetAdvised(),
+		AdviceDecision:  time.Duration(q.GetAdviceDecisionUs()) * time.Microsecond,
+		AdvicePerWorker: time.Duration(q.GetAdvicePerWorkerUs()) * time.Microsecond,
+	}
+}
+
+func stepToWire(s *dispatch.StepSpec) *logpb.StepSpec {
+	step := &logpb.StepSpec{
+		Tasks: int32(s.Tasks), MilliCpu: s.Size.MilliCPU, MemoryMib: s.Size.MemoryMiB, Accelerators: s.Size.Accelerators,
+		EstimateMs: s.Estimate.Milliseconds(), Checkpoints: s.Checkpoints, Gang: s.Gang, SingleRack: s.SingleRack,
+		Requires: s.Requires, PreferRack: s.PreferRack, MaxPerWorker: int32(s.MaxPerWorker), Speculative: s.Speculative,
+		LongRunning: s.LongRunning, Image: s.Image, TailTargetMs: s.TailTarget.Milliseconds(), Fills: s.Fills,
+		MayMiss: int32(s.MayMiss),
+	}
+	for _, earlier := range s.DependsOn {
+		step.DependsOn = append(step.DependsOn, int32(earlier))
+	}
+	return step
+}
+
+func stepFromWire(s *logpb.StepSpec) dispatch.StepSpec {
+	step := dispatch.StepSpec{
+		Tasks:    int(s.GetTasks()),
+		Size:     model.Resources{MilliCPU: s.GetMilliCpu(), MemoryMiB: s.GetMemoryMib(), Accelerators: s.GetAccelerators()},
+		Estimate: milliseconds(s.GetEstimateMs()), Checkpoints: s.GetCheckpoints(), Gang: s.GetGang(),
+		SingleRack: s.GetSingleRack(), Requires: s.GetRequires(), PreferRack: s.GetPreferRack(),
+		MaxPerWorker: int(s.GetMaxPerWorker()), Speculative: s.GetSpeculative(), LongRunning: s.GetLongRunning(),
+		Image: s.GetImage(), TailTarget: milliseconds(s.GetTailTargetMs()), Fills: s.GetFills(), MayMiss: int(s.GetMayMiss()),
+	}
+	for _, earlier := range s.GetDependsOn() {
+		step.DependsOn = append(step.DependsOn, int(earlier))
+	}
+	return step
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+var (
+	phaseToWire = map[dispatch.TaskPhase]logpb.TaskRecord_Phase{
+		dispatch.TaskWaiting: logpb.TaskRecord_WAITING,
+		dispatch.TaskPlaced:  logpb.TaskRecord_PLACED,
+		dispatch.TaskDone:    logpb.TaskRecord_DONE,
+	}
+	phaseFromWire = map[logpb.TaskRecord_Phase]dispatch.TaskPhase{
+		logpb.TaskRecord_WAITING: dispatch.TaskWaiting,
+		logpb.TaskRecord_PLACED:  dispatch.TaskPlaced,
+		logpb.TaskRecord_DONE:    dispatch.TaskDone,
+	}
+	endToWire = map[dispatch.JobState]logpb.JobRecord_State{
+		dispatch.Completed: logpb.JobRecord_COMPLETED,
+		dispatch.Failed:    logpb.JobRecord_FAILED,
+		dispatch.Cancelled: logpb.JobRecord_CANCELLED,
+	}
+)
--- /dev/null
+++ b/internal/app/replica/replica.go
@@ -0,0 +1,362 @@
+// Package replica keeps a node's copy of the cell's jobs, as the cell's log
+// tells them. Every node has one: it answers callers from it, and a new owner
+// starts with it.
+package replica
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+const shardCount = 16
+
+// Job is what the log tells of one job that has not been forgotten.
+type Job struct {
+	ID          model.JobID
+	Submission  *logpb.Submission // nil if only decisions about it are known
+	Cancelled   bool
+	State       dispatch.JobState // Queued or Running unless it has ended
+	Tasks       map[dispatch.TaskName]*logpb.TaskRecord
+	Occurrences []int // completed ones
+}
+
+// Listener is told of callers' wishes as the log brings them, one at a time.
+type Listener interface {
+	Submitted(id model.JobID, submission *logpb.Submission)
+	Cancelled(id model.JobID)
+}
+
+// Replica is the copy. It is safe for concurrent use: each shard of jobs has a
+// lock, and apply holds back a new listener while a batch is taken.
+type Replica struct {
+	clock  port.Clock
+	logger logrus.FieldLogger
+
+	apply    sync.Mutex
+	listener Listener
+
+	shards [shardCount]shard
+
+	mu      sync.Mutex // guards what follows
+	members map[string]string
+	owner   OwnerSign
+}
+
+// OwnerSign is the newest sign of life of an owner.
+type OwnerSign struct {
+	Epoch    uint64
+	Node     string
+	Resigned bool
+	At       time.Duration // clock reading at which it was read
+}
+
+type shard struct {
+	mu    sync.RWMutex
+	jobs  map[model.JobID]*Job
+	ended map[model.JobID]endedJob
+}
+
+type endedJob struct {
+	state dispatch.JobState
+	at    time.Time
+}
+
+// New returns an empty replica.
+func New(clock port.Clock, logger logrus.FieldLogger) *Replica {
+	r := &Replica{clock: clock, logger: logger}
+	r.Reset()
+	return r
+}
+
+// Reset implements logtail.Follower.
+func (r *Replica) Reset() {
+	r.apply.Lock()
+	defer r.apply.Unlock()
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		s.jobs = map[model.JobID]*Job{}
+		s.ended = map[model.JobID]endedJob{}
+		s.mu.Unlock()
+	}
+	r.mu.Lock()
+	r.members = map[string]string{}
+	r.mu.Unlock()
+}
+
+// Apply implements logtail.Follower.
+func (r *Replica) Apply(records []port.KeyedRecord, _ uint64, _ bool) {
+	r.apply.Lock()
+	defer r.apply.Unlock()
+	for i := range records {
+		if err := r.take(&records[i]); err != nil {
+			r.logger.WithError(err).WithFields(logrus.Fields{"key": records[i].Key, "offset": records[i].Offset}).
+				Warn("ignored a record that can't be read")
+		}
+	}
+}
+
+func (r *Replica) take(record *port.KeyedRecord) error {
+	if record.Key == OwnerKey {
+		return r.takeOwner(record)
+	}
+	if len(record.Key) < len(taskPrefix) {
+		return nil
+	}
+	kind, name := record.Key[:len(taskPrefix)], record.Key[len(taskPrefix):]
+	switch kind {
+	case submissionPrefix:
+		return r.takeSubmission(model.JobID(name), record.Value)
+	case cancellationPrefix:
+		r.takeCancellation(model.JobID(name), record.Value)
+	case endPrefix:
+		return r.takeEnd(model.JobID(name), record.Value)
+	case taskPrefix:
+		return r.takeTask(name, record.Value)
+	case occurrencePrefix:
+		r.takeOccurrence(name, record.Value)
+	case memberPrefix:
+		return r.takeMember(name, record.Value)
+	}
+	return nil
+}
+
+func (r *Replica) takeOwner(record *port.KeyedRecord) error {
+	var sign logpb.OwnerRecord
+	if err := proto.Unmarshal(record.Value, &sign); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if sign.GetEpoch() >= r.owner.Epoch {
+		r.owner = OwnerSign{Epoch: sign.GetEpoch(), Node: sign.GetNode(), Resigned: sign.GetResigned(), At: r.clock.Now()}
+	}
+	return nil
+}
+
+func (r *Replica) takeSubmission(id model.JobID, value []byte) error {
+	s := r.shard(id)
+	s.mu.Lock()
+	if value == nil {
+		delete(s.jobs, id)
+		s.mu.Unlock()
+		return nil
+	}
+	submission := new(logpb.Submission)
+	if err := proto.Unmarshal(value, submission); err != nil {
+		s.mu.Unlock()
+		return err
+	}
+	j := s.job(id)
+	fresh := j.Submission == nil
+	if fresh {
+		j.Submission = submission
+	}
+	s.mu.Unlock()
+	if fresh && r.listener != nil {
+		r.listener.Submitted(id, submission)
+	}
+	return nil
+}
+
+func (r *Replica) takeCancellation(id model.JobID, value []byte) {
+	if value == nil {
+		return
+	}
+	s := r.shard(id)
+	s.mu.Lock()
+	s.job(id).Cancelled = true
+	s.mu.Unlock()
+	if r.listener != nil {
+		r.listener.Cancelled(id)
+	}
+}
+
+func (r *Replica) takeEnd(id model.JobID, value []byte) error {
+	s := r.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if value == nil {
+		delete(s.ended, id)
+		return nil
+	}
+	var record logpb.JobRecord
+	if err := proto.Unmarshal(value, &record); err != nil {
+		return err
+	}
+	state := endStates[record.GetState()]
+	s.ended[id] = endedJob{state: state, at: time.UnixMilli(record.GetEndedUnixMs())}
+	if j, ok := s.jobs[id]; ok {
+		j.State = state
+	}
+	return nil
+}
+
+func (r *Replica) takeTask(text string, value []byte) error {
+	name, err := dispatch.ParseTaskName(text)
+	if err != nil {
+		return err
+	}
+	s := r.shard(name.Job)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if value == nil {
+		if j, ok := s.jobs[name.Job]; ok {
+			delete(j.Tasks, name)
+		}
+		return nil
+	}
+	record := new(logpb.TaskRecord)
+	if err := proto.Unmarshal(value, record); err != nil {
+		return err
+	}
+	j := s.job(name.Job)
+	j.Tasks[name] = record
+	if j.State == dispatch.Queued {
+		j.State = dispatch.Running
+	}
+	return nil
+}
+
+func (r *Replica) takeOccurrence(name string, value []byte) {
+	id, number, ok := parseOccurrence(name)
+	if !ok || value == nil {
+		return
+	}
+	s := r.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.job(id)
+	j.Occurrences = append(j.Occurrences, number)
+}
+
+func (r *Replica) takeMember(node string, value []byte) error {
+	var member logpb.MemberRecord
+	if err := proto.Unmarshal(value, &member); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if value == nil {
+		delete(r.members, node)
+	} else {
+		r.members[node] = member.GetAddress()
+	}
+	return nil
+}
+
+func (r *Replica) shard(id model.JobID) *shard {
+	return &r.shards[xxhash.Sum64String(string(id))%shardCount]
+}
+
+// job returns the job, which it creates when it is new. The caller holds the
+// shard's lock.
+func (s *shard) job(id model.JobID) *Job {
+	j, ok := s.jobs[id]
+	if !ok {
+		j = &Job{ID: id, State: dispatch.Queued, Tasks: map[dispatch.TaskName]*logpb.TaskRecord{}}
+		if end, ended := s.ended[id]; ended {
+			j.State = end.state
+		}
+		s.jobs[id] = j
+	}
+	return j
+}
+
+// State returns the state of a job and whether it is known.
+func (r *Replica) State(id model.JobID) (dispatch.JobState, bool) {
+	s := r.shard(id)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if end, ok := s.ended[id]; ok {
+		return end.state, true
+	}
+	if j, ok := s.jobs[id]; ok && j.Submission != nil {
+		return j.State, true
+	}
+	return "", false
+}
+
+// Pending counts the queue's jobs of which no task has started.
+func (r *Replica) Pending(queue string) int {
+	count := 0
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.RLock()
+		for _, j := range s.jobs {
+			if j.State == dispatch.Queued && j.Submission != nil && !j.Cancelled && j.Submission.GetQueue().GetName() == queue {
+				count++
+			}
+		}
+		s.mu.RUnlock()
+	}
+	return count
+}
+
+// Owner returns the newest sign of life of an owner.
+func (r *Replica) Owner() OwnerSign {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.owner
+}
+
+// Members returns the peer addresses of the nodes by name.
+func (r *Replica) Members() map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	members := make(map[string]string, len(r.members))
+	for node, address := range r.members {
+		members[node] = address
+	}
+	return members
+}
+
+// Listen hands every job to visit and from then on tells the listener what
+// comes. A nil listener ends that. Jobs must not be kept or changed by visit.
+func (r *Replica) Listen(listener Listener, visit func(*Job)) {
+	r.apply.Lock()
+	defer r.apply.Unlock()
+	r.listener = listener
+	if visit == nil {
+		return
+	}
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.RLock()
+		for _, j := range s.jobs {
+			visit(j)
+		}
+		s.mu.RUnlock()
+	}
+}
+
+// EndedBefore returns the jobs whose end may be forgotten.
+func (r *Replica) EndedBefore(limit time.Time) []model.JobID {
+	var ids []model.JobID
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.RLock()
+		for id, end := range s.ended {
+			if _, live := s.jobs[id]; !live && end.at.Before(limit) {
+				ids = append(ids, id)
+			}
+		}
+		s.mu.RUnlock()
+	}
+	return ids
+}
+
+var endStates = map[logpb.JobRecord_State]dispatch.JobState{
+	logpb.JobRecord_COMPLETED: dispatch.Completed,
+	logpb.JobRecord_FAILED:    dispatch.Failed,
+	logpb.JobRecord_CANCELLED: dispatch.Cancelled,
+}
--- /dev/null
+++ b/internal/app/tenure/tenure.go
@@ -0,0 +1,154 @@
+// Package tenure decides which node owns the cell. A claim is an append to the
+// owners' topic that holds only if nothing else was appended; its offset is the
+// epoch. The owner shows on the cell's topic that it can still write; a node
+// that no longer reads such a sign claims.
+package tenure
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
+	"github.com/balsamhitch/balsamhitch/internal/app/replica"
+	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+const (
+	// Silence is how long an owner may show no sign of life.
+	Silence = time.Second
+	// checkInterval is how often a node looks for a silent owner.
+	checkInterval = 50 * time.Millisecond
+	// spread keeps nodes from claiming at the same moment.
+	spread      = 150 * time.Millisecond
+	callTimeout = time.Second
+	claimKey    = "owner"
+)
+
+// Owner does the work of the cell's owner.
+type Owner interface {
+	// Serve returns once another node owns the cell or the context ends.
+	Serve(ctx context.Context, epoch uint64) error
+}
+
+// Candidate claims the cell when its owner is silent.
+type Candidate struct {
+	Node    string
+	Address string
+	// Handicap delays the claims of a small VM, so that a larger one goes first.
+	Handicap time.Duration
+	Log      port.KeyedLog
+	Clock    port.Clock
+	Replica  *replica.Replica
+	Tail     *logtail.Tail
+	Owner    Owner
+	Logger   logrus.FieldLogger
+	// Leaving reports that the node is about to stop and takes no office.
+	Leaving func() bool
+
+	// The newest claim without a sign of its holder, and when it was first seen.
+	seenClaim   uint64
+	seenClaimAt time.Duration
+}
+
+// Run claims and serves until the context ends.
+func (c *Candidate) Run(ctx context.Context) {
+	started := c.Clock.Now()
+	for ctx.Err() == nil {
+		if !c.ownerSilent(started) || c.Leaving() {
+			pause(ctx, checkInterval)
+			continue
+		}
+		pause(ctx, c.Handicap+rand.N(spread))
+		if !c.ownerSilent(started) || c.Leaving() || ctx.Err() != nil {
+			continue
+		}
+		epoch, err := c.claim(ctx)
+		if err != nil {
+			c.Logger.WithError(err).Info("claim of the cell failed")
+			pause(ctx, checkInterval+rand.N(spread))
+			continue
+		}
+		c.Logger.WithField("epoch", epoch).Info("cell claimed")
+		err = c.Owner.Serve(ctx, epoch)
+		c.Logger.WithField("epoch", epoch).WithError(err).Warn("cell given up")
+		started = c.Clock.Now()
+	}
+}
+
+// ownerSilent reports whether a read that was sent long enough after the
+// owner's last sign brought no newer one.
+func (c *Candidate) ownerSilent(started time.Duration) bool {
+	fresh := c.Tail.Fresh()
+	if fresh == 0 {
+		return false
+	}
+	sign := c.Replica.Owner()
+	if sign.Epoch == 0 || sign.Resigned {
+		return sign.Node != c.Node || c.Clock.Now()-started > Silence
+	}
+	return fresh-max(sign.At, started) > Silence
+}
+
+// claim appends a claim after the newest one. It returns the epoch.
+func (c *Candidate) claim(ctx context.Context) (uint64, error) {
+	nonce := ulid.Make().String()
+	value, err := proto.Marshal(&logpb.OwnerClaim{Node: c.Node, Address: c.Address, Nonce: nonce})
+	if err != nil {
+		return 0, errs.Wrap(err)
+	}
+	end, before, err := c.newest(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if before > c.Replica.Owner().Epoch && c.Replica.Owner().Epoch != 0 && !c.waited(before) {
+		return 0, errs.New("another node has claimed the cell with epoch %d", before)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	offset, err := c.Log.Append(callCtx, replica.OwnerTopic,
+		[]port.KeyedRecord{{Key: claimKey, Value: value}}, port.AppendOptions{EndsAt: &end})
+	if err != nil {
+		return 0, err
+	}
+	return offset + 1, nil
+}
+
+// waited gives the holder of a newer claim time for its first sign.
+func (c *Candidate) waited(epoch uint64) bool {
+	if c.seenClaim != epoch {
+		c.seenClaim, c.seenClaimAt = epoch, c.Clock.Now()
+	}
+	return c.Clock.Now()-c.seenClaimAt > Silence
+}
+
+// newest returns the end of the owners' topic and the newest epoch.
+func (c *Candidate) newest(ctx context.Context) (end, epoch uint64, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	page, err := c.Log.Newest(callCtx, replica.OwnerTopic, "")
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, record := range page.Records {
+		if record.Key == claimKey {
+			epoch = record.Offset + 1
+		}
+	}
+	return page.End, epoch, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/core/dispatch/place.go
@@ -0,0 +1,413 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+const (
+	// adviceBatch is the number of workers named in one question to the
+	// placement policy. Its answer takes longer for each.
+	adviceBatch = 30
+	// adviceRetry is the pause after a question without an answer.
+	adviceRetry = 200 * time.Millisecond
+	// reserveAfter is how long a gang waits until workers are kept free for it.
+	reserveAfter = 300 * time.Millisecond
+)
+
+// Schedule places what can be placed. The orders are in the next batch.
+func (e *Engine) Schedule(now time.Duration, wall time.Time) {
+	e.pass++
+	for j := range e.timed {
+		e.openOccurrences(j, wall)
+	}
+	for _, s := range e.order(wall) {
+		if s.blocked == e.version && s.blocked != 0 {
+			continue
+		}
+		version := e.version
+		if e.placeStep(s, now, wall) {
+			continue
+		}
+		if !e.advised(s) {
+			s.blocked = version
+		}
+	}
+}
+
+// order returns the ready steps, the most urgent first: by the priority of the
+// queue, then those that can still meet their objective, then by deadline.
+func (e *Engine) order(wall time.Time) []*step {
+	type ranked struct {
+		step     *step
+		priority int
+		late     bool
+		slack    time.Duration
+	}
+	list := make([]ranked, 0, len(e.ready))
+	for s := range e.ready {
+		o := s.occurrence
+		slack := o.deadline.Sub(wall) - s.spec.Estimate
+		list = append(list, ranked{s, e.queue(o.job).Priority, slack < 0, slack})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		if c := cmp.Compare(a.priority, b.priority); c != 0 {
+			return c
+		}
+		if a.late != b.late {
+			if a.late {
+				return 1
+			}
+			return -1
+		}
+		if c := cmp.Compare(a.slack, b.slack); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.step.occurrence.job.id, b.step.occurrence.job.id)
+	})
+	steps := make([]*step, len(list))
+	for i, r := range list {
+		steps[i] = r.step
+	}
+	return steps
+}
+
+func (e *Engine) advised(s *step) bool { return e.queue(s.occurrence.job).Advised }
+
+// placeStep places what it can of the step and reports whether nothing of it
+// is left to place.
+func (e *Engine) placeStep(s *step, now time.Duration, wall time.Time) bool {
+	if s.gang != nil {
+		return e.placeGang(s, now, wall)
+	}
+	for _, t := range s.tasks {
+		if t.phase != waiting {
+			continue
+		}
+		w := e.choose(s, t, now, nil)
+		if w == nil {
+			e.ask(s, now)
+			return false
+		}
+		e.place(t, w, t.run+1)
+	}
+	delete(e.ready, s)
+	return true
+}
+
+func (e *Engine) place(t *task, w *worker, run uint64) {
+	s := t.step
+	t.run = run
+	t.phase = placed
+	s.waiting--
+	e.assign(t, w, w.life)
+	e.record(t)
+	order := StartOrder{
+		Task: t.name(), Run: run, Worker: w.info.ID, Life: w.life,
+		Payload: s.occurrence.job.spec.Payload, Ticket: s.tickets[w.info.ID].value,
+	}
+	if s.spec.Checkpoints {
+		order.Checkpoint = t.checkpoint
+	}
+	e.batch.Starts = append(e.batch.Starts, order)
+	if j := s.occurrence.job; j.state == Queued {
+		j.state = Running
+	}
+}
+
+// placeGang places all members or none.
+func (e *Engine) placeGang(s *step, now time.Duration, wall time.Time) bool {
+	planned := map[*worker]int{}
+	chosen := make([]*worker, 0, len(s.tasks))
+	owner := e.team(s.occurrence.job.spec.Team)
+	fits := withinLimit(owner, s.spec.Size.Scale(int64(len(s.tasks))))
+	for _, t := range s.tasks {
+		if !fits {
+			break
+		}
+		w := e.choose(s, t, now, planned)
+		if w == nil {
+			fits = false
+			break
+		}
+		planned[w]++
+		chosen = append(chosen, w)
+	}
+	if !fits {
+		e.ask(s, now)
+		if wall.Sub(s.occurrence.due) > reserveAfter {
+			e.reserve(s, now)
+		}
+		return false
+	}
+	s.gang.run++
+	for i, t := range s.tasks {
+		t.checkpoint = s.gang.checkpoint
+		e.place(t, chosen[i], s.gang.run)
+	}
+	delete(e.ready, s)
+	return true
+}
+
+// reserve keeps workers free of less urgent tasks until the gang fits.
+func (e *Engine) reserve(s *step, now time.Duration) {
+	size := s.spec.footprint()
+	candidates := make([]*worker, 0, len(e.workers))
+	for _, w := range e.workers {
+		if e.usable(s, w, now) && w.reserved != e.pass && e.allowed(s, w, now) && size.Fits(w.info.Capacity) {
+			candidates = append(candidates, w)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *worker) int {
+		if c := cmp.Compare(b.free().MilliCPU, a.free().MilliCPU); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.info.ID, b.info.ID)
+	})
+	left := len(s.tasks)
+	for _, w := range candidates {
+		if left <= 0 {
+			return
+		}
+		w.reserved = e.pass
+		left -= copies(size, w.info.Capacity)
+	}
+}
+
+// copies returns how many times size fits into capacity.
+func copies(size, capacity model.Resources) int {
+	count := int64(1 << 20)
+	for _, d := range [...]struct{ size, all int64 }{
+		{size.MilliCPU, capacity.MilliCPU},
+		{size.MemoryMiB, capacity.MemoryMiB},
+		{size.Accelerators, capacity.Accelerators},
+	} {
+		if d.size > 0 {
+			count = min(count, d.all/d.size)
+		}
+	}
+	return int(count)
+}
+
+// usable reports whether the worker may be given tasks of the step at all.
+func (e *Engine) usable(s *step, w *worker, now time.Duration) bool {
+	if !w.listed || !w.synced || w.info.Draining || w.info.Life != w.life ||
+		e.domains[w.info.Domain] || len(w.strange) > 0 ||
+		now-w.reported > e.settings.ContactTime || w.health.suspected(now) {
+		return false
+	}
+	if w.info.Service != e.queue(s.occurrence.job).Service {
+		return false
+	}
+	return s.spec.Requires == "" || slices.Contains(w.info.Labels, s.spec.Requires)
+}
+
+// allowed reports whether the placement policy lets the worker run the step.
+func (e *Engine) allowed(s *step, w *worker, now time.Duration) bool {
+	if !e.advised(s) {
+		return true
+	}
+	t, ok := s.tickets[w.info.ID]
+	return ok && t.life == w.life && t.expires > now+e.settings.TicketMargin
+}
+
+// choose returns the worker for the task, or nil if none can take it now.
+// planned counts the members of a gang that are to be placed with it.
+func (e *Engine) choose(s *step, t *task, now time.Duration, planned map[*worker]int) *worker {
+	if planned == nil && !withinLimit(e.team(s.occurrence.job.spec.Team), s.spec.Size) {
+		return nil
+	}
+	size := s.spec.footprint()
+	var best *worker
+	bestScore := 0.0
+	rack := ""
+	if s.spec.SingleRack {
+		rack = plannedRack(planned)
+	}
+	for _, w := range e.workers {
+		if !e.usable(s, w, now) || w.reserved == e.pass || !e.allowed(s, w, now) {
+			continue
+		}
+		free := w.free().Sub(size.Scale(int64(planned[w])))
+		if !size.Fits(free) || !e.apart(s, w, planned[w]) {
+			continue
+		}
+		score := score(s, t, w, free.Sub(size))
+		if rack != "" && w.info.Rack != rack {
+			score -= rackPenalty
+		}
+		if best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// apart reports whether the step may have one more task on the worker.
+func (e *Engine) apart(s *step, w *worker, planned int) bool {
+	if s.spec.MaxPerWorker == 0 {
+		return true
+	}
+	count := planned
+	for _, t := range w.tasks {
+		if t.step == s {
+			count++
+		}
+	}
+	return count < s.spec.MaxPerWorker
+}
+
+// The weights of a placement, in parts of a worker's capacity left over.
+const (
+	rackPenalty   = 10.0 // far from the data or from the gang
+	retryPenalty  = 5.0  // the task failed there
+	doubtPenalty  = 0.5  // per failure in a row of the worker
+	balancePoints = 0.2  // for processor time and memory left in proportion
+)
+
+// score rates the worker by how little it leaves unused.
+func score(s *step, t *task, w *worker, left model.Resources) float64 {
+	capacity := w.info.Capacity
+	cpu := fraction(left.MilliCPU, capacity.MilliCPU)
+	memory := fraction(left.MemoryMiB, capacity.MemoryMiB)
+	points := -(cpu + memory) / 2
+	if cpu > memory {
+		points -= balancePoints * (cpu - memory)
+	} else {
+		points -= balancePoints * (memory - cpu)
+	}
+	if s.spec.PreferRack != "" && !slices.Contains(w.info.Labels, s.spec.PreferRack) {
+		points -= rackPenalty
+	}
+	if t.failedOn == w.info.ID {
+		points -= retryPenalty
+	}
+	return points - doubtPenalty*float64(w.health.failures)
+}
+
+func fraction(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+func plannedRack(planned map[*worker]int) string {
+	best, count := "", 0
+	for w, n := range planned {
+		if n > count || n == count && w.info.Rack < best {
+			best, count = w.info.Rack, n
+		}
+	}
+	return best
+}
+
+func withinLimit(t *team, more model.Resources) bool {
+	limit := t.policy.Limit
+	next := t.used.Add(more)
+	return (limit.MilliCPU == 0 || next.MilliCPU <= limit.MilliCPU) &&
+		(limit.MemoryMiB == 0 || next.MemoryMiB <= limit.MemoryMiB) &&
+		(limit.Accelerators == 0 || next.Accelerators <= limit.Accelerators)
+}
+
+// ask decides whether the placement policy is to be asked about more workers.
+func (e *Engine) ask(s *step, now time.Duration) {
+	if !e.advised(s) || s.asking || now < s.askAfter {
+		return
+	}
+	size := s.spec.footprint()
+	type candidate struct {
+		worker *worker
+		score  float64
+	}
+	var known, fresh []candidate
+	for id, w := range e.workers {
+		if !e.usable(s, w, now) || !size.Fits(w.free()) || e.allowed(s, w, now) {
+			continue
+		}
+		c := candidate{w, score(s, s.tasks[0], w, w.free().Sub(size))}
+		if _, approved := s.tickets[id]; approved {
+			known = append(known, c)
+		} else if !s.refused[id] {
+			fresh = append(fresh, c)
+		}
+	}
+	if len(known)+len(fresh) == 0 {
+		return
+	}
+	byRoom := func(a, b candidate) int {
+		if c := cmp.Compare(a.score, b.score); c != 0 {
+			return c // the emptiest first: room is likely to last until the answer
+		}
+		return cmp.Compare(a.worker.info.ID, b.worker.info.ID)
+	}
+	slices.SortFunc(known, byRoom)
+	slices.SortFunc(fresh, byRoom)
+	o := s.occurrence
+	query := AdviceQuery{Job: o.job.id, Occurrence: o.number, Step: s.index}
+	for _, c := range append(known, fresh...) {
+		if len(query.Workers) == adviceBatch {
+			break
+		}
+		query.Workers = append(query.Workers, c.worker.info.ID)
+	}
+	queue := e.queue(o.job)
+	query.Expected = queue.AdviceDecision + time.Duration(len(query.Workers))*queue.AdvicePerWorker
+	s.asking = true
+	e.queries = append(e.queries, query)
+}
+
+// Advised takes the answer of the placement policy. asked is when the question
+// was sent, from which the validity counts; without an answer err is set.
+func (e *Engine) Advised(query AdviceQuery, approved []Approval, validity, asked, now time.Duration, err error) {
+	j, ok := e.jobs[query.Job]
+	if !ok {
+		return
+	}
+	o, ok := j.occurrences[query.Occurrence]
+	if !ok {
+		return
+	}
+	s := o.steps[query.Step]
+	s.asking = false
+	if err != nil {
+		s.askAfter = now + adviceRetry
+		return
+	}
+	tickets := make(map[model.VMID]string, len(approved))
+	for _, a := range approved {
+		tickets[a.Worker] = a.Ticket
+	}
+	for _, id := range query.Workers {
+		value, ok := tickets[id]
+		if !ok {
+			s.refused[id] = true
+			delete(s.tickets, id)
+			continue
+		}
+		life := int64(0)
+		if w, known := e.workers[id]; known {
+			life = w.life
+		}
+		s.tickets[id] = ticket{value: value, life: life, expires: asked + validity}
+	}
+	s.blocked = 0
+}
+
+// sortedTasks returns the worker's tasks in the order of their names, so that
+// the same reports lead to the same decisions.
+func (w *worker) sortedTasks() []*task {
+	list := make([]*task, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *task) int {
+		x, y := a.name(), b.name()
+		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Occurrence, y.Occurrence),
+			cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index))
+	})
+	return list
+}
--- /dev/null
+++ b/internal/core/dispatch/runs.go
@@ -0,0 +1,423 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+// listMargin is the worker's time that must lie between an answer to a start
+// or stop and a list for the list to be the later one.
+const listMargin = 50 * time.Millisecond
+
+func (e *Engine) worker(id model.VMID) *worker {
+	found, ok := e.workers[id]
+	if !ok {
+		found = &worker{info: WorkerInfo{ID: id}, tasks: map[TaskName]*task{}, strange: map[TaskName]uint64{}}
+		e.workers[id] = found
+	}
+	return found
+}
+
+// assign counts the task on the worker and for its team.
+func (e *Engine) assign(t *task, w *worker, life int64) {
+	t.worker, t.life = w, life
+	t.seenAt, t.adopted, t.percent, t.movedAt, t.began = 0, false, 0, 0, 0
+	w.used = w.used.Add(t.step.spec.footprint())
+	w.tasks[t.name()] = t
+	owner := e.team(t.step.occurrence.job.spec.Team)
+	owner.used = owner.used.Add(t.step.spec.Size)
+}
+
+// release is the inverse of assign.
+func (e *Engine) release(t *task) {
+	w := t.worker
+	if w == nil {
+		return
+	}
+	t.worker = nil
+	w.used = w.used.Sub(t.step.spec.footprint())
+	delete(w.tasks, t.name())
+	owner := e.team(t.step.occurrence.job.spec.Team)
+	owner.used = owner.used.Sub(t.step.spec.Size)
+	e.version++
+}
+
+// UpdateWorkers takes the VM list. Workers that it no longer names take no new
+// work, and are forgotten once nothing can run on them.
+func (e *Engine) UpdateWorkers(list []WorkerInfo) {
+	named := make(map[model.VMID]bool, len(list))
+	for _, info := range list {
+		named[info.ID] = true
+		w := e.worker(info.ID)
+		if !w.listed || w.info.Draining != info.Draining {
+			e.version++
+		}
+		if info.Life < w.life {
+			info.Life = w.life // the entry is older than the worker's own word
+		}
+		w.info, w.listed = info, true
+	}
+	for id, w := range e.workers {
+		if named[id] {
+			continue
+		}
+		w.listed = false
+		if len(w.tasks) == 0 && len(w.strange) == 0 {
+			delete(e.workers, id)
+		}
+	}
+}
+
+// Started takes a worker's word that a run is at work.
+func (e *Engine) Started(name TaskName, run uint64, id model.VMID, clock time.Duration) {
+	t := e.current(name, run, id)
+	if t == nil || t.phase != placed {
+		return
+	}
+	t.phase = running
+	t.seenAt = clock
+}
+
+// Rejected takes a worker's word, or the certainty, that a start had no effect
+// and never will have.
+func (e *Engine) Rejected(name TaskName, run uint64, id model.VMID, reason string, now time.Duration) {
+	t := e.current(name, run, id)
+	if t == nil || t.phase == running {
+		return
+	}
+	e.event("start_rejected", t, reason)
+	if reason == "ticket" {
+		delete(t.step.tickets, id)
+	}
+	t.worker.health.rejected(now)
+	e.ended(t, EndStopped, "")
+	e.finishRound(t)
+}
+
+// Stopped takes a worker's word that it has taken a stop.
+func (e *Engine) Stopped(name TaskName, run uint64, id model.VMID, clock time.Duration) {
+	if t := e.current(name, run, id); t != nil && t.phase == stopping {
+		t.seenAt = clock + e.settings.StopTime
+	}
+}
+
+// current returns the task if the run on the worker is its latest one.
+func (e *Engine) current(name TaskName, run uint64, id model.VMID) *task {
+	t := e.find(name)
+	if t == nil || t.run != run || t.worker == nil || t.worker.info.ID != id {
+		return nil
+	}
+	return t
+}
+
+// Report takes a worker's lists. The runs that the worker should stop are
+// among the next stops.
+func (e *Engine) Report(id model.VMID, report WorkerReport, now time.Duration) {
+	w := e.worker(id)
+	if w.synced && report.Life < w.life {
+		return // an answer of an earlier life, overtaken
+	}
+	if report.Life != w.life {
+		e.newLife(w, report)
+	}
+	if !w.synced {
+		w.synced = true
+		e.version++
+	}
+	w.reported = now
+	for _, end := range report.Finished {
+		if end.Sequence <= w.seen {
+			continue
+		}
+		w.seen = end.Sequence
+		e.takeEnd(w, end, now)
+	}
+	if w.seen > w.acked {
+		e.batch.Acks = append(e.batch.Acks, Ack{Worker: id, Life: w.life, Sequence: w.seen})
+	}
+	listed := e.takeRunning(w, report, now)
+	if !report.Partial {
+		e.takeMissing(w, report.Clock, listed)
+	}
+}
+
+// newLife notes that the worker's process is another one: what ran on the
+// earlier one has ended, unless the new one lists it.
+func (e *Engine) newLife(w *worker, report WorkerReport) {
+	first := w.life == 0
+	w.life, w.acked, w.seen = report.Life, 0, 0
+	w.info.Life = report.Life
+	clear(w.strange)
+	e.version++
+	listed := map[TaskName]uint64{}
+	for _, row := range report.Running {
+		listed[row.Task] = row.Run
+	}
+	for _, t := range w.sortedTasks() {
+		if first && t.life == report.Life {
+			continue
+		}
+		if run, ok := listed[t.name()]; ok && run == t.run {
+			t.life = report.Life
+			continue
+		}
+		if t.life == report.Life {
+			continue
+		}
+		e.ended(t, EndLost, "")
+		e.finishRound(t)
+	}
+}
+
+// Acked notes that the ends up to the sequence number are durable.
+func (e *Engine) Acked(ack Ack) {
+	if w, ok := e.workers[ack.Worker]; ok && w.life == ack.Life {
+		w.acked = max(w.acked, ack.Sequence)
+	}
+}
+
+// AckCursor returns the number of the last end of the life that is durable.
+func (e *Engine) AckCursor(id model.VMID, life int64) uint64 {
+	if w, ok := e.workers[id]; ok && w.life == life {
+		return w.acked
+	}
+	return 0
+}
+
+func (e *Engine) takeEnd(w *worker, end FinishedTask, now time.Duration) {
+	if run, ok := w.strange[end.Task]; ok && run == end.Run {
+		delete(w.strange, end.Task)
+	}
+	t := e.current(end.Task, end.Run, w.info.ID)
+	if t == nil {
+		return
+	}
+	w.health.ended(end.How, t, now)
+	if end.How == EndFailed {
+		t.failedOn = w.info.ID
+	}
+	e.ended(t, end.How, end.Checkpoint)
+	e.finishRound(t)
+}
+
+// takeRunning notes what the worker lists as running and stops what no job
+// accounts for.
+func (e *Engine) takeRunning(w *worker, report WorkerReport, now time.Duration) map[TaskName]bool {
+	listed := make(map[TaskName]bool, len(report.Running))
+	for _, row := range report.Running {
+		listed[row.Task] = true
+		t := e.current(row.Task, row.Run, w.info.ID)
+		if t == nil {
+			if _, known := w.strange[row.Task]; !known {
+				w.strange[row.Task] = row.Run
+				e.stops = append(e.stops, StopOrder{Task: row.Task, Run: row.Run, Worker: w.info.ID, Life: w.life})
+			}
+			continue
+		}
+		if t.phase == placed {
+			t.phase = running
+		}
+		if t.phase == running {
+			t.seenAt = max(t.seenAt, report.Clock)
+		}
+		e.progress(t, row, now)
+	}
+	for name := range w.strange {
+		if !listed[name] {
+			delete(w.strange, name)
+		}
+	}
+	return listed
+}
+
+func (e *Engine) progress(t *task, row RunningTask, now time.Duration) {
+	if t.began == 0 {
+		t.began, t.movedAt = now, now
+	}
+	if row.Percent != t.percent || row.Checkpoint != t.checkpoint {
+		t.movedAt = now
+	}
+	t.percent = row.Percent
+	if row.Checkpoint != "" {
+		t.checkpoint = row.Checkpoint
+	}
+}
+
+// takeMissing ends the runs that the worker knew at an earlier time and
+// neither lists as running nor as ended.
+func (e *Engine) takeMissing(w *worker, clock time.Duration, listed map[TaskName]bool) {
+	for _, t := range w.sortedTasks() {
+		if listed[t.name()] || t.seenAt == 0 && !t.adopted || clock < t.seenAt+listMargin {
+			continue
+		}
+		how := EndLost
+		if t.phase == stopping {
+			how = EndStopped
+		}
+		e.ended(t, how, "")
+		e.finishRound(t)
+	}
+}
+
+// Adopt marks everything that is placed as decided by an earlier owner. Once a
+// worker has seen this tenure's token, no order of the earlier owner has an
+// effect on it any more, and its list decides.
+func (e *Engine) Adopt() {
+	for _, w := range e.workers {
+		for _, t := range w.tasks {
+			if t.phase == placed {
+				t.adopted = true
+			}
+		}
+	}
+}
+
+// Doubt ends a run whose start has an unknown outcome: the worker is told to
+// stop it, which also keeps the start from taking effect later.
+func (e *Engine) Doubt(name TaskName, run uint64, id model.VMID) {
+	if t := e.current(name, run, id); t != nil && t.phase == placed {
+		e.event("start_doubtful", t, "")
+		e.stop(t)
+	}
+}
+
+// Lapse ends what ran on a worker whose leases have run out for certain.
+func (e *Engine) Lapse(id model.VMID) {
+	w, ok := e.workers[id]
+	if !ok {
+		return
+	}
+	for _, t := range w.sortedTasks() {
+		e.ended(t, EndLapsed, "")
+		e.finishRound(t)
+	}
+	clear(w.strange)
+}
+
+// HasTasks reports whether runs may be at work on the worker.
+func (e *Engine) HasTasks(id model.VMID) bool {
+	w, ok := e.workers[id]
+	return ok && (len(w.tasks) > 0 || len(w.strange) > 0)
+}
+
+// ended takes the end of the task's current run.
+func (e *Engine) ended(t *task, how EndKind, checkpoint string) {
+	s := t.step
+	wasStopping := t.phase == stopping
+	e.event("run_"+string(how), t, "")
+	e.release(t)
+	if checkpoint != "" {
+		t.checkpoint = checkpoint
+	}
+	switch {
+	case s.gang != nil:
+		e.memberEnded(t, how)
+	case how == EndDone && !s.spec.LongRunning:
+		t.phase = done
+		s.left--
+	default:
+		if how == EndFailed && !s.spec.LongRunning {
+			t.failures++
+		}
+		t.phase = waiting
+		s.waiting++
+	}
+	if t.phase == done || !wasStopping || !s.occurrence.job.state.Ended() {
+		e.record(t)
+	}
+}
+
+// memberEnded takes the end of one member of a gang.
+func (e *Engine) memberEnded(t *task, how EndKind) {
+	s, g := t.step, t.step.gang
+	if how == EndDone {
+		g.done = true
+	}
+	if g.done {
+		t.phase = done
+		s.left--
+		return
+	}
+	if how == EndFailed && g.failedRun != t.run {
+		g.failedRun = t.run
+		g.failures++
+	}
+	if t.checkpoint != "" {
+		g.checkpoint = t.checkpoint
+	}
+	t.failures = g.failures
+	t.phase = waiting
+	s.waiting++
+	g.breaking = s.waiting < len(s.tasks)
+}
+
+// finishRound draws the conclusions of an end for the task's gang and job.
+func (e *Engine) finishRound(t *task) {
+	s := t.step
+	j := s.occurrence.job
+	if s.gang != nil {
+		e.finishGang(s)
+	}
+	queue := e.queue(j)
+	if queue.MaxAttempts > 0 && t.failures >= queue.MaxAttempts && !s.spec.LongRunning && !j.state.Ended() && t.phase != done {
+		e.end(j, Failed, "a task failed as often as its queue allows")
+		return
+	}
+	e.refreshReady(s.occurrence)
+	e.settle(j)
+}
+
+func (e *Engine) finishGang(s *step) {
+	if s.gang.done {
+		for _, t := range s.tasks {
+			if t.phase == waiting {
+				t.phase = done
+				s.left--
+				s.waiting--
+			}
+		}
+		return
+	}
+	if !s.gang.breaking {
+		return
+	}
+	for _, t := range s.tasks {
+		e.stop(t)
+	}
+	if s.waiting == len(s.tasks) {
+		s.gang.breaking = false
+	}
+}
+
+// HasUnackedEnds reports whether the worker listed ends that are not durable.
+func (e *Engine) HasUnackedEnds(id model.VMID) bool {
+	w, ok := e.workers[id]
+	return ok && w.seen > w.acked
+}
+
+// Listed reports whether the VM list names the worker.
+func (e *Engine) Listed(id model.VMID) bool {
+	w, ok := e.workers[id]
+	return ok && w.listed
+}
+
+// Stopping reports whether the run is to be stopped and may still be at work.
+func (e *Engine) Stopping(name TaskName, run uint64, id model.VMID) bool {
+	if t := e.current(name, run, id); t != nil {
+		return t.phase == stopping
+	}
+	w, ok := e.workers[id]
+	return ok && w.strange[name] == run && run > 0
+}
+
+// WorkersWithTasks returns the workers on which runs may be at work.
+func (e *Engine) WorkersWithTasks() []model.VMID {
+	var ids []model.VMID
+	for id, w := range e.workers {
+		if len(w.tasks) > 0 || len(w.strange) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
