Work out ready steps after a restore

Cause: a restored gang stayed on the list of ready steps, and a new owner placed it a second time (TWICE, LIMIT after each takeover). Ruled out: fencing of the former owner; its runs were listed and known. Change: refreshReady after each restored occurrence; placements are logged.

--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -186,6 +186,7 @@
 		fields := logrus.Fields{"job": event.Job, "epoch": t.epoch}
 		if event.Task != "" {
 			fields["task"] = event.Task
+			fields["run"] = event.Run
 		}
 		if event.Worker != "" {
 			fields["worker"] = event.Worker
--- a/internal/core/dispatch/jobs.go
+++ b/internal/core/dispatch/jobs.go
@@ -33,6 +33,7 @@
 	}
 	for _, o := range j.occurrences {
 		e.restoreSteps(o)
+		e.refreshReady(o)
 	}
 	if state.Ended() {
 		j.state = state
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -105,6 +105,7 @@
 	s.waiting--
 	e.assign(t, w, w.life)
 	e.record(t)
+	e.event("run_placed", t, "")
 	order := StartOrder{
 		Task: t.name(), Run: run, Worker: w.info.ID, Life: w.life,
 		Payload: s.occurrence.job.spec.Payload, Ticket: s.tickets[w.info.ID].value,
--- /dev/null
+++ b/internal/core/dispatch/restore_test.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+var (
+	testStart    = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	testSettings = Settings{
+		StopTime: 400 * time.Millisecond, ContactTime: 1800 * time.Millisecond, TicketMargin: 250 * time.Millisecond,
+	}
+	testQueue = Queue{Name: "fits", Service: "pattern", MaxAttempts: 2, Slowdown: 2, Target: time.Second}
+)
+
+func testWorker(id model.VMID) WorkerInfo {
+	return WorkerInfo{
+		ID: id, Life: 1, Service: "pattern", Address: string(id), Domain: "z1",
+		Capacity: model.Resources{MilliCPU: 32000, MemoryMiB: 128000},
+	}
+}
+
+func testJob(steps ...StepSpec) JobSpec {
+	return JobSpec{Team: "t", Queue: testQueue, Payload: "p", Steps: steps, Submitted: testStart}
+}
+
+func smallStep(tasks int) StepSpec {
+	return StepSpec{Tasks: tasks, Size: model.Resources{MilliCPU: 1000, MemoryMiB: 1000}, Estimate: time.Second}
+}
+
+// newTestEngine returns an engine with the workers in contact.
+func newTestEngine(workers ...model.VMID) *Engine {
+	e := New(testSettings)
+	e.SetPolicy([]Queue{testQueue}, []Team{{Name: "t"}}, nil)
+	list := make([]WorkerInfo, 0, len(workers))
+	for _, id := range workers {
+		list = append(list, testWorker(id))
+	}
+	e.UpdateWorkers(list)
+	return e
+}
+
+func TestANewOwnerDoesNotPlaceAGangThatIsPlaced(t *testing.T) {
+	e := newTestEngine("w1", "w2")
+	gang := smallStep(2)
+	gang.Gang = true
+	e.AddJob("j", testJob(gang), testStart)
+	e.Restore("j", Running, nil, []TaskFact{
+		{Task: TaskName{Job: "j", Index: 0}, Phase: TaskPlaced, Run: 1, Worker: "w1", Life: 1},
+		{Task: TaskName{Job: "j", Index: 1}, Phase: TaskPlaced, Run: 1, Worker: "w1", Life: 1},
+	}, testStart)
+	e.Adopt()
+	e.Report("w2", WorkerReport{Life: 1, Clock: time.Second}, time.Second)
+	e.Schedule(time.Second, testStart.Add(time.Second))
+	assert.Empty(t, e.Take().Starts, "the worker that may run the gang has not answered")
+
+	e.Report("w1", WorkerReport{Life: 1, Clock: time.Second}, time.Second)
+	e.Schedule(time.Second, testStart.Add(time.Second))
+	starts := e.Take().Starts
+	require.Len(t, starts, 2, "the worker does not know the gang: it never began")
+	assert.EqualValues(t, 2, starts[0].Run)
+}
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -167,6 +167,7 @@
 	Kind   string
 	Job    model.JobID
 	Task   string
+	Run    uint64
 	Worker model.VMID
 	Detail string
 }
@@ -249,7 +250,7 @@
 }
 
 func (e *Engine) event(kind string, t *task, detail string) {
-	event := Event{Kind: kind, Job: t.step.occurrence.job.id, Task: t.name().String(), Detail: detail}
+	event := Event{Kind: kind, Job: t.step.occurrence.job.id, Task: t.name().String(), Run: t.run, Detail: detail}
 	if t.worker != nil {
 		event.Worker = t.worker.info.ID
 	}
