Hand callers' records to the owner; ask the policy only where room is left

Cause: in a slow store each submission was an append of its own and queued at the partition; after an outage hundreds of steps asked the placement policy for room that more urgent ones took; a resignation was seldom written, and two nodes claimed in a row. Ruled out: the owner's processor time (0.07 of a core at most). Change: nodes hand records to the owner, which appends them with its batch; questions only while room is left, long ones on two thirds of the nodes; steps ordered by what their job can still earn; the resigning sign is awaited; a claim compares with the owner that was found silent.

--- a/internal/adapter/httpcall/httpcall.go
+++ b/internal/adapter/httpcall/httpcall.go
@@ -26,8 +26,8 @@
 )
 
 const (
-	dialTimeout     = 2 * time.Second
-	idleTimeout     = 30 * time.Second
+	dialTimeout = 2 * time.Second
+	idleTimeout = 30 * time.Second
 	// A peer that is gone without a word is noticed within about 3 s.
 	keepAliveTime   = time.Second
 	keepAliveProbes = 2
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -45,7 +45,10 @@
 	events := t.engine.TakeEvents()
 	stale := t.stale
 	t.stale = nil
+	t.engine.SetAskers(len(t.Replica.Members()))
 	t.mu.Unlock()
+	wishes := t.takeWishes()
+	leaving := t.owner.leaving.Load()
 
 	t.log(events)
 	for _, stop := range stops {
@@ -54,23 +57,30 @@
 	for _, query := range queries {
 		go t.advise(ctx, query) // waits for the policy; their number is that of the waiting steps
 	}
-	records, err := t.records(&batch, stale, now)
+	records, err := t.records(&batch, stale, now, leaving)
 	if err != nil {
 		return err
 	}
+	for _, wish := range wishes {
+		records = append(records, wish.records...)
+	}
 	if len(records) > 0 {
-		if _, err := t.append(ctx, records); err != nil {
+		_, err := t.append(ctx, records)
+		for _, wish := range wishes {
+			wish.done <- err
+		}
+		if err != nil {
 			return err
 		}
 	}
 	t.carryOut(ctx, &batch)
-	if t.owner.leaving.Load() {
+	if leaving {
 		return Error.New("the node is leaving")
 	}
 	return nil
 }
 
-func (t *tenure) records(batch *dispatch.Batch, stale []model.JobID, now time.Duration) ([]port.KeyedRecord, error) {
+func (t *tenure) records(batch *dispatch.Batch, stale []model.JobID, now time.Duration, leaving bool) ([]port.KeyedRecord, error) {
 	records, err := replica.BatchRecords(batch, t.Clock.Wall())
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -82,7 +92,6 @@
 		t.cleanedAt = now
 		records = append(records, replica.DropEnds(t.Replica.EndedBefore(t.Clock.Wall().Add(-t.EndsKept)))...)
 	}
-	leaving := t.owner.leaving.Load()
 	if now-t.signedAt > signInterval || leaving {
 		t.signedAt = now
 		sign, err := replica.OwnerRecord(t.epoch, t.Node, leaving)
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -50,6 +50,7 @@
 	options Options
 	owning  atomic.Bool
 	leaving atomic.Bool
+	current atomic.Pointer[tenure]
 }
 
 // New returns a Dispatcher.
@@ -81,6 +82,11 @@
 		return err
 	}
 	defer d.options.Replica.Listen(nil, nil)
+	d.current.Store(t)
+	defer func() {
+		d.current.Store(nil)
+		t.refuseWishes()
+	}()
 	d.options.Policy.Notify(t.policyChanged)
 	var group sync.WaitGroup
 	group.Go(func() {
@@ -91,6 +97,61 @@
 	return context.Cause(ctx)
 }
 
+// Append adds records of callers to the next batch and waits until they are
+// durable. An error of type NotStarted proves that they never will be.
+func (d *Dispatcher) Append(ctx context.Context, records []port.KeyedRecord) error {
+	t := d.current.Load()
+	if t == nil {
+		return port.NotStarted.New("this node does not own the cell")
+	}
+	w := &wish{records: records, done: make(chan error, 1)}
+	if !t.addWish(w) {
+		return port.NotStarted.New("this node no longer owns the cell")
+	}
+	t.wake()
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	}
+}
+
+// wish is a set of callers' records for the next batch.
+type wish struct {
+	records []port.KeyedRecord
+	done    chan error // capacity 1
+}
+
+func (t *tenure) addWish(w *wish) bool {
+	t.wishMu.Lock()
+	defer t.wishMu.Unlock()
+	if t.over {
+		return false
+	}
+	t.wishes = append(t.wishes, w)
+	return true
+}
+
+func (t *tenure) takeWishes() []*wish {
+	t.wishMu.Lock()
+	defer t.wishMu.Unlock()
+	wishes := t.wishes
+	t.wishes = nil
+	return wishes
+}
+
+// refuseWishes ends the wishes that no batch has taken.
+func (t *tenure) refuseWishes() {
+	t.wishMu.Lock()
+	defer t.wishMu.Unlock()
+	t.over = true
+	for _, w := range t.wishes {
+		w.done <- port.NotStarted.New("this node no longer owns the cell")
+	}
+	t.wishes = nil
+}
+
 // tenure is one time in office.
 type tenure struct {
 	Options
@@ -113,6 +174,10 @@
 	committedMu sync.Mutex
 	committed   chan struct{} // closed at the next commit
 
+	wishMu sync.Mutex
+	wishes []*wish
+	over   bool // no wish is taken any more
+
 	stale []model.JobID // submissions that came again after the end; guarded by mu
 }
 
@@ -122,7 +187,7 @@
 	appendTime   = time.Second // of one attempt
 	appendPause  = 50 * time.Millisecond
 	// signInterval is how often the owner shows that it can write.
-	signInterval = 400 * time.Millisecond
+	signInterval = 250 * time.Millisecond
 	// commitGap lets decisions gather into one append.
 	commitGap = 8 * time.Millisecond
 	// idleTick is how often time alone may lead to a decision.
--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -32,10 +32,12 @@
 )
 
 const (
-	appendTime  = 600 * time.Millisecond // of one attempt
+	// forwardTime bounds the way through the owner: a few batches of a slow log.
+	forwardTime = 1200 * time.Millisecond
+	appendTime  = 700 * time.Millisecond // of one attempt
 	appendPause = 40 * time.Millisecond
 	// giveUpAfter is how long the log is tried for one call.
-	giveUpAfter = 1500 * time.Millisecond
+	giveUpAfter = 1800 * time.Millisecond
 	// staleAfter is how old the replica may be for "no such job".
 	staleAfter = 1500 * time.Millisecond
 )
@@ -48,6 +50,9 @@
 	Tail    *logtail.Tail
 	Clock   port.Clock
 	Logger  logrus.FieldLogger
+	// Forward hands a record to the cell's owner, which makes it durable with
+	// its next batch. An error of type NotStarted proves that it will not.
+	Forward func(ctx context.Context, record port.KeyedRecord) error
 }
 
 // Call is a caller's call to a route.
@@ -111,14 +116,21 @@
 	return outcome
 }
 
-// append tries the log until it answers or the time is up. The record is the
-// same each time, so that a late effect of an earlier try does no harm.
+// append hands the record to the owner, and tries the log itself if that fails,
+// until one answers or the time is up. The record is the same each time, so
+// that a late effect of an earlier try does no harm.
 func (s *Service) append(ctx context.Context, id model.JobID, record port.KeyedRecord) Outcome {
 	began := s.Clock.Now()
-	unknown := false
+	callCtx, cancel := context.WithTimeout(ctx, forwardTime)
+	err := s.Forward(callCtx, record)
+	cancel()
+	if err == nil {
+		return Done
+	}
+	unknown := !port.NotStarted.Has(err)
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, appendTime)
-		_, err := s.Log.Append(callCtx, replica.CellTopic, []port.KeyedRecord{record}, port.AppendOptions{})
+		_, err = s.Log.Append(callCtx, replica.CellTopic, []port.KeyedRecord{record}, port.AppendOptions{})
 		cancel()
 		if err == nil {
 			return Done
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -44,7 +44,7 @@
 	// exitMargin is left between a node's exit and the platform's kill.
 	exitMargin = 1500 * time.Millisecond
 	// lingerTime is how long a leaving node takes calls on open connections.
-	lingerTime = 2500 * time.Millisecond
+	lingerTime = 4 * time.Second
 	// memoryShare is the part of the VM's memory that the garbage collector
 	// keeps the heap within.
 	memoryShare = 0.6
@@ -75,6 +75,7 @@
 	owner    *dispatcher.Dispatcher
 	ingress  *platform.Ingress
 	peers    *peer.Server
+	calls    *peer.Client
 
 	leaving   bool
 	leavingMu sync.Mutex
@@ -100,12 +101,12 @@
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
-	calls := peer.New(peer.Options{Streams: 1, Logger: logger})
+	n.calls = peer.New(peer.Options{Streams: 1, Logger: logger})
 	n.owner = dispatcher.New(dispatcher.Options{
 		Node: settings.Node, Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cell, Policy: n.policy,
 		Workers:   platform.NewWorkers(workerConnections),
 		Directory: &platform.Directory{Log: n.store, Clock: n.clock, Logger: logger.WithField("part", "directory")},
-		Advice:    &advice.Pool{Node: settings.Node, Local: n.advisor, Peers: calls, Members: n.replica.Members, Clock: n.clock},
+		Advice:    &advice.Pool{Node: settings.Node, Local: n.advisor, Peers: n.calls, Members: n.replica.Members, Clock: n.clock},
 		Pool:      pool, Logger: logger.WithField("part", "dispatcher"),
 		Engine: dispatch.Settings{
 			StopTime: settings.Bounds.Stop(), Early: settings.Bounds.Early(),
@@ -115,7 +116,7 @@
 	})
 	service := &intake.Service{
 		Policy: n.policy, Log: n.store, Replica: n.replica, Tail: n.cell, Clock: n.clock,
-		Logger: logger.WithField("part", "intake"),
+		Logger: logger.WithField("part", "intake"), Forward: n.forward,
 	}
 	n.ingress = platform.NewIngress(service, settings.CallersAddress, settings.ReadinessAddress)
 	return n, nil
@@ -223,8 +224,53 @@
 	}
 }
 
+// forward hands a caller's record to the cell's owner.
+func (n *node) forward(ctx context.Context, record port.KeyedRecord) error {
+	if n.owner.Owning() {
+		return n.owner.Append(ctx, []port.KeyedRecord{record})
+	}
+	owner := n.replica.Owner()
+	address, known := n.replica.Members()[owner.Node]
+	if !known || owner.Resigned || owner.Node == n.settings.Node {
+		return port.NotStarted.New("the cell's owner is not known")
+	}
+	reply, err := n.calls.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_KeepRecords{KeepRecords: &peerpb.KeepRecords{
+		Records: []*peerpb.KeepRecords_Record{{Key: record.Key, Value: record.Value}},
+	}}})
+	if err != nil {
+		return err
+	}
+	if refusal := reply.GetAck().GetRefusal(); refusal != nil {
+		if refusal.GetReason() == peerpb.Refusal_NOT_OWNER {
+			return port.NotStarted.New("%s", refusal.GetDetail())
+		}
+		return errs.New("%s", refusal.GetDetail())
+	}
+	return nil
+}
+
+// keep makes another node's records durable.
+func (n *node) keep(ctx context.Context, message *peerpb.KeepRecords) *peerpb.Ack {
+	records := make([]port.KeyedRecord, 0, len(message.GetRecords()))
+	for _, record := range message.GetRecords() {
+		records = append(records, port.KeyedRecord{Key: record.GetKey(), Value: record.GetValue()})
+	}
+	err := n.owner.Append(ctx, records)
+	switch {
+	case err == nil:
+		return &peerpb.Ack{}
+	case port.NotStarted.Has(err):
+		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_NOT_OWNER, Detail: err.Error()}}
+	default:
+		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_UNAVAILABLE, Detail: err.Error()}}
+	}
+}
+
 // Serve implements port.PeerHandler.
 func (n *node) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+	if message := request.GetKeepRecords(); message != nil {
+		return &peerpb.Response{Body: &peerpb.Response_Ack{Ack: n.keep(ctx, message)}}
+	}
 	if query := request.GetAdvice(); query != nil {
 		if response := advice.Serve(ctx, n.advisor, query); response != nil {
 			return response
--- a/internal/app/replica/replica.go
+++ b/internal/app/replica/replica.go
@@ -17,7 +17,11 @@
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
-const shardCount = 16
+const (
+	shardCount = 16
+	// longestGap bounds what one gap counts: an outage is not the usual gap.
+	longestGap = time.Second
+)
 
 // Job is what the log tells of one job that has not been forgotten.
 type Job struct {
@@ -57,6 +61,7 @@
 	Node     string
 	Resigned bool
 	At       time.Duration // clock reading at which it was read
+	Gap      time.Duration // usual time between the signs of the epoch
 }
 
 type shard struct {
@@ -137,9 +142,14 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if sign.GetEpoch() >= r.owner.Epoch {
-		r.owner = OwnerSign{Epoch: sign.GetEpoch(), Node: sign.GetNode(), Resigned: sign.GetResigned(), At: r.clock.Now()}
+	if sign.GetEpoch() < r.owner.Epoch {
+		return nil
+	}
+	next := OwnerSign{Epoch: sign.GetEpoch(), Node: sign.GetNode(), Resigned: sign.GetResigned(), At: r.clock.Now()}
+	if next.Epoch == r.owner.Epoch {
+		next.Gap = (3*r.owner.Gap + min(next.At-r.owner.At, longestGap)) / 4
 	}
+	r.owner = next
 	return nil
 }
 
--- a/internal/app/tenure/tenure.go
+++ b/internal/app/tenure/tenure.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// Silence is how long an owner may show no sign of life.
-	Silence = time.Second
+	// silence is how long an owner may show no sign of life while the log is
+	// quick; a slow log makes the gaps between its signs longer.
+	silence   = 700 * time.Millisecond
+	gapFactor = 3
 	// checkInterval is how often a node looks for a silent owner.
 	checkInterval = 50 * time.Millisecond
 	// spread keeps nodes from claiming at the same moment.
@@ -69,7 +71,7 @@
 		if !c.ownerSilent(started) || c.Leaving() || ctx.Err() != nil {
 			continue
 		}
-		epoch, err := c.claim(ctx)
+		epoch, err := c.claim(ctx, c.Replica.Owner().Epoch)
 		if err != nil {
 			c.Logger.WithError(err).Info("claim of the cell failed")
 			pause(ctx, checkInterval+rand.N(spread))
@@ -91,13 +93,14 @@
 	}
 	sign := c.Replica.Owner()
 	if sign.Epoch == 0 || sign.Resigned {
-		return sign.Node != c.Node || c.Clock.Now()-started > Silence
+		return sign.Node != c.Node || c.Clock.Now()-started > silence
 	}
-	return fresh-max(sign.At, started) > Silence
+	return fresh-max(sign.At, started) > max(silence, gapFactor*sign.Gap)
 }
 
-// claim appends a claim after the newest one. It returns the epoch.
-func (c *Candidate) claim(ctx context.Context) (uint64, error) {
+// claim appends a claim after the newest one. It returns the epoch. silent is
+// the epoch of the owner that was found silent.
+func (c *Candidate) claim(ctx context.Context, silent uint64) (uint64, error) {
 	nonce := ulid.Make().String()
 	value, err := proto.Marshal(&logpb.OwnerClaim{Node: c.Node, Address: c.Address, Nonce: nonce})
 	if err != nil {
@@ -107,7 +110,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if before > c.Replica.Owner().Epoch && c.Replica.Owner().Epoch != 0 && !c.waited(before) {
+	if before > silent && !c.waited(before) {
 		return 0, errs.New("another node has claimed the cell with epoch %d", before)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -125,7 +128,7 @@
 	if c.seenClaim != epoch {
 		c.seenClaim, c.seenClaimAt = epoch, c.Clock.Now()
 	}
-	return c.Clock.Now()-c.seenClaimAt > Silence
+	return c.Clock.Now()-c.seenClaimAt > silence
 }
 
 // newest returns the end of the owners' topic and the newest epoch.
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -24,49 +24,74 @@
 	for j := range e.timed {
 		e.openOccurrences(j, wall)
 	}
+	e.room = e.freeRoom(now)
 	for _, s := range e.order(wall) {
-		if s.blocked == e.version && s.blocked != 0 {
+		if !e.advised(s) && s.blocked == e.version && s.blocked != 0 {
 			continue
 		}
 		version := e.version
 		if e.placeStep(s, now, wall) {
 			continue
 		}
-		if !e.advised(s) {
-			s.blocked = version
+		s.blocked = version
+		e.room = e.room.Sub(s.spec.footprint().Scale(int64(s.waiting)))
+	}
+}
+
+// freeRoom returns what the workers that take new work have free together.
+func (e *Engine) freeRoom(now time.Duration) model.Resources {
+	var room model.Resources
+	for _, w := range e.workers {
+		if e.open(w, now) {
+			room = room.Add(w.free())
 		}
 	}
+	return room
+}
+
+// prospect tells what a job can still earn for its caller.
+type prospect int
+
+const (
+	onTime   prospect = iota
+	late              // within lateFactor of the objective
+	hopeless          // of no use to the caller any more
+)
+
+// lateFactor is how many times the objective a late answer is still of use.
+const lateFactor = 3
+
+func (o *occurrence) prospect(s *step, wall time.Time) prospect {
+	finish := wall.Add(s.spec.Estimate)
+	switch {
+	case !finish.After(o.deadline):
+		return onTime
+	case !finish.After(o.due.Add(lateFactor * o.deadline.Sub(o.due))):
+		return late
+	default:
+		return hopeless
+	}
 }
 
-// order returns the ready steps, the most urgent first: by the priority of the
-// queue, then those that can still meet their objective, then by deadline.
+// order returns the ready steps, the most urgent first: those that can still
+// meet their objective, by the priority of their queue, then by deadline.
 func (e *Engine) order(wall time.Time) []*step {
 	type ranked struct {
 		step     *step
 		priority int
-		late     bool
+		prospect prospect
 		slack    time.Duration
 	}
 	list := make([]ranked, 0, len(e.ready))
 	for s := range e.ready {
 		o := s.occurrence
 		slack := o.deadline.Sub(wall) - s.spec.Estimate
-		list = append(list, ranked{s, e.queue(o.job).Priority, slack < 0, slack})
+		list = append(list, ranked{s, e.queue(o.job).Priority, o.prospect(s, wall), slack})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
-		if c := cmp.Compare(a.priority, b.priority); c != 0 {
-			return c
-		}
-		if a.late != b.late {
-			if a.late {
-				return 1
-			}
-			return -1
-		}
-		if c := cmp.Compare(a.slack, b.slack); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.step.occurrence.job.id, b.step.occurrence.job.id)
+		return cmp.Or(cmp.Compare(a.prospect, b.prospect), cmp.Compare(a.priority, b.priority),
+			cmp.Compare(a.slack, b.slack), cmp.Compare(a.step.occurrence.job.id, b.step.occurrence.job.id),
+			cmp.Compare(a.step.index, b.step.index))
 	})
 	steps := make([]*step, len(list))
 	for i, r := range list {
@@ -195,17 +220,19 @@
 
 // usable reports whether the worker may be given tasks of the step at all.
 func (e *Engine) usable(s *step, w *worker, now time.Duration) bool {
-	if !w.listed || !w.synced || w.info.Draining || w.info.Life != w.life ||
-		e.domains[w.info.Domain] || len(w.strange) > 0 ||
-		now-w.reported > e.settings.ContactTime || w.health.suspected(now) {
-		return false
-	}
-	if w.info.Service != e.queue(s.occurrence.job).Service {
+	if !e.open(w, now) || w.info.Service != e.queue(s.occurrence.job).Service {
 		return false
 	}
 	return s.spec.Requires == "" || slices.Contains(w.info.Labels, s.spec.Requires)
 }
 
+// open reports whether the worker takes new work.
+func (e *Engine) open(w *worker, now time.Duration) bool {
+	return w.listed && w.synced && !w.info.Draining && w.info.Life == w.life &&
+		!e.domains[w.info.Domain] && len(w.strange) == 0 &&
+		now-w.reported <= e.settings.ContactTime && !w.health.suspected(now)
+}
+
 // allowed reports whether the placement policy lets the worker run the step.
 func (e *Engine) allowed(s *step, w *worker, now time.Duration) bool {
 	if !e.advised(s) {
@@ -316,10 +343,10 @@
 
 // ask decides whether the placement policy is to be asked about more workers.
 func (e *Engine) ask(s *step, now time.Duration) {
-	if !e.advised(s) || s.asking || now < s.askAfter {
-		return
-	}
 	size := s.spec.footprint()
+	if !e.advised(s) || s.asking || now < s.askAfter || !size.Fits(e.room) {
+		return // more urgent steps will take what is free
+	}
 	type candidate struct {
 		worker *worker
 		score  float64
@@ -349,6 +376,13 @@
 	slices.SortFunc(fresh, byRoom)
 	o := s.occurrence
 	query := AdviceQuery{Job: o.job.id, Occurrence: o.number, Step: s.index}
+	room := 0
+	for _, c := range known {
+		room += copies(size, c.worker.free())
+	}
+	if room >= s.waiting {
+		fresh = nil
+	}
 	for _, c := range append(known, fresh...) {
 		if len(query.Workers) == adviceBatch {
 			break
@@ -357,13 +391,53 @@
 	}
 	queue := e.queue(o.job)
 	query.Expected = queue.AdviceDecision + time.Duration(len(query.Workers))*queue.AdvicePerWorker
+	if !e.asks.begin(query.Expected, e.askers) {
+		return
+	}
 	s.asking = true
 	e.queries = append(e.queries, query)
 }
 
+// longAsk is the time of an answer from which a question counts as long.
+const longAsk = 100 * time.Millisecond
+
+// asks counts the questions to the placement policy that wait for an answer.
+type asks struct {
+	short, long int
+}
+
+// begin counts a question unless too many wait for the same askers. Long ones
+// leave some askers to the short ones, whose steps are the more urgent.
+func (a *asks) begin(expected time.Duration, askers int) bool {
+	if expected >= longAsk {
+		if a.long >= max(1, askers*2/3) {
+			return false
+		}
+		a.long++
+		return true
+	}
+	if a.short >= 2*max(1, askers) {
+		return false
+	}
+	a.short++
+	return true
+}
+
+func (a *asks) end(expected time.Duration) {
+	if expected >= longAsk {
+		a.long--
+	} else {
+		a.short--
+	}
+}
+
+// SetAskers tells how many nodes can ask the placement policy at a time.
+func (e *Engine) SetAskers(count int) { e.askers = count }
+
 // Advised takes the answer of the placement policy. asked is when the question
 // was sent, from which the validity counts; without an answer err is set.
 func (e *Engine) Advised(query AdviceQuery, approved []Approval, validity, asked, now time.Duration, err error) {
+	e.asks.end(query.Expected)
 	j, ok := e.jobs[query.Job]
 	if !ok {
 		return
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -154,6 +154,9 @@
 	ready   map[*step]struct{} // steps with tasks to place
 	timed   map[*job]struct{}  // jobs with occurrences to open
 	pass    int
+	room    model.Resources // free in this pass, less what more urgent steps wait for
+	asks    asks
+	askers  int
 	version uint64 // counts changes that may let a blocked step go on
 
 	batch   Batch
