--- a/cmd/balsam-node/main.go
+++ b/cmd/balsam-node/main.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/sirupsen/logrus"
 
@@ -24,5 +26,8 @@
 	logger := logrus.New()
 	logger.SetOutput(os.Stdout)
 	logger.SetFormatter(&logrus.JSONFormatter{})
-	return node.Run(ctx, settings, logger.WithField("node", settings.Node))
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	return node.Run(ctx, settings, reload, logger.WithField("node", settings.Node))
 }
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -52,14 +53,16 @@
 	peerHandlers = 64
 )
 
-// Run serves until the context ends, then leaves in order.
-func Run(ctx context.Context, settings platform.Settings, logger logrus.FieldLogger) error {
+// Run serves until the context ends, then leaves in order. A signal on reload
+// says that the settings file has changed; a node's addresses and bounds hold
+// for its lifetime, so that it is only noted.
+func Run(ctx context.Context, settings platform.Settings, reload <-chan os.Signal, logger logrus.FieldLogger) error {
 	debug.SetMemoryLimit(int64(settings.VM.MemoryMiB * memoryShare * (1 << 20)))
 	n, err := build(settings, logger)
 	if err != nil {
 		return err
 	}
-	return n.run(ctx)
+	return n.run(ctx, reload)
 }
 
 type node struct {
@@ -140,7 +143,7 @@
 	return followerPace
 }
 
-func (n *node) run(ctx context.Context) error {
+func (n *node) run(ctx context.Context, reload <-chan os.Signal) error {
 	server, err := peer.Listen(n.settings.PeerAddress, n, peer.Options{Handlers: peerHandlers, Logger: n.logger})
 	if err != nil {
 		return err
@@ -160,12 +163,16 @@
 	go candidate.Run(work)
 	failed := make(chan error, 1)
 	go func() { failed <- n.ingress.Run() }()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-		n.leave()
-		return nil
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-reload:
+			n.logger.Info("settings file changed; nothing in it takes effect before the next start")
+		case <-ctx.Done():
+			n.leave()
+			return nil
+		}
 	}
 }
 
