Remember forgotten jobs in the engine

Cause: between the end of a job and the round that noted it, a reload could bring its submission back (TWICE, celltest).

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -342,7 +342,7 @@
 var failedSeeds = []uint64{
 	46, 82, 229, 247, // a start reached the new life of a worker and ended before its first list
 	12798675283703530220, 13028798377740684563, // a start placed for one life was sent to the next
-	103772599723601, 2190259404939, // a reload during a tenure brought an ended job back
+	103772599723601, 2190259404939, 127651375926531, // a reload during a tenure brought an ended job back
 }
 
 func TestRandomTroubleBreaksNoRule(t *testing.T) {
--- a/internal/app/celltest/worker_test.go
+++ b/internal/app/celltest/worker_test.go
@@ -124,7 +124,8 @@
 	}
 }
 
-// deliver carries out an order now, or later without an answer.
+// deliver carries out an order now, or later without an answer. The worker
+// itself holds a late order back, so that it is gone with the worker's life.
 func (f *fleet) deliver(ctx context.Context, id model.VMID, mayBeLate bool, order func(w *fakeWorker) error) error {
 	time.Sleep(answerTime)
 	f.mu.Lock()
@@ -137,11 +138,14 @@
 		return ctx.Err()
 	}
 	if late {
+		life := w.born
 		f.mu.Unlock()
 		time.AfterFunc(delay, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			_ = order(w)
+			if w.born.Equal(life) {
+				_ = order(w)
+			}
 		})
 		<-ctx.Done()
 		return ctx.Err()
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -43,8 +43,9 @@
 	stops := t.engine.TakeStops()
 	queries := t.engine.TakeQueries()
 	events := t.engine.TakeEvents()
-	for _, end := range batch.Ended {
-		t.ended[end.Job] = now
+	if now-t.agedAt > t.EndsKept {
+		t.agedAt = now
+		t.engine.AgeEnds()
 	}
 	stale := t.stale
 	t.stale = nil
@@ -93,7 +94,6 @@
 	}
 	if now-t.cleanedAt > cleanInterval {
 		t.cleanedAt = now
-		t.forgetEnds(now)
 		records = append(records, replica.DropEnds(t.Replica.EndedBefore(t.Clock.Wall().Add(-t.EndsKept)))...)
 	}
 	if now-t.signedAt > signInterval || leaving {
@@ -107,16 +107,6 @@
 	return records, nil
 }
 
-func (t *tenure) forgetEnds(now time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for id, at := range t.ended {
-		if now-at > t.EndsKept {
-			delete(t.ended, id)
-		}
-	}
-}
-
 // carryOut gives the orders of a batch that is durable.
 func (t *tenure) carryOut(ctx context.Context, batch *dispatch.Batch) {
 	if len(batch.Acks) > 0 {
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -75,7 +75,6 @@
 		kick:      make(chan struct{}, 1),
 		committed: make(chan struct{}),
 		engine:    dispatch.New(d.options.Engine),
-		ended:     map[model.JobID]time.Duration{},
 	}
 	d.owning.Store(true)
 	defer d.owning.Store(false)
@@ -164,6 +163,7 @@
 	lastAck   atomic.Int64
 	signedAt  time.Duration // last sign of life, of the commit loop
 	cleanedAt time.Duration
+	agedAt    time.Duration // when a generation of ended jobs began
 
 	mu     sync.Mutex // guards the engine
 	engine *dispatch.Engine
@@ -179,10 +179,7 @@
 	wishes []*wish
 	over   bool // no wish is taken any more
 
-	// ended holds the jobs that ended under this tenure, with the time. After a
-	// reload the replica may show a submission before the end that follows it.
-	ended map[model.JobID]time.Duration // guarded by mu
-	stale []model.JobID                 // submissions that came again after the end; guarded by mu
+	stale []model.JobID // submissions that came again after the end; guarded by mu
 }
 
 const (
@@ -262,13 +259,12 @@
 func (t *tenure) Submitted(id model.JobID, submission *logpb.Submission) {
 	state, _ := t.Replica.State(id)
 	t.mu.Lock()
-	_, ended := t.ended[id]
-	if state.Ended() || ended {
-		if !t.engine.Known(id) {
-			t.stale = append(t.stale, id)
-		}
-	} else {
-		t.engine.AddJob(id, replica.Spec(submission), t.Clock.Wall())
+	if state.Ended() && t.engine.Known(id) {
+		t.mu.Unlock()
+		return
+	}
+	if state.Ended() || !t.engine.AddJob(id, replica.Spec(submission), t.Clock.Wall()) {
+		t.stale = append(t.stale, id)
 	}
 	t.mu.Unlock()
 	t.wake()
--- a/internal/core/dispatch/jobs.go
+++ b/internal/core/dispatch/jobs.go
@@ -6,15 +6,27 @@
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
 
-// AddJob takes a submission. A job that is known already is left as it is.
-func (e *Engine) AddJob(id model.JobID, spec JobSpec, now time.Time) {
+// AddJob takes a submission. A job that is known already is left as it is; it
+// reports false for one that has ended and is forgotten.
+func (e *Engine) AddJob(id model.JobID, spec JobSpec, now time.Time) bool {
+	if e.forgotten[id] || e.forgottenBefore[id] {
+		return false
+	}
 	if _, known := e.jobs[id]; known {
-		return
+		return true
 	}
 	j := &job{id: id, spec: spec, state: Queued, occurrences: map[int]*occurrence{}, completed: map[int]bool{}}
 	e.jobs[id] = j
 	e.timed[j] = struct{}{}
 	e.openOccurrences(j, now)
+	return true
+}
+
+// AgeEnds begins a new generation of ended jobs and drops the one before the
+// last.
+func (e *Engine) AgeEnds() {
+	e.forgottenBefore = e.forgotten
+	e.forgotten = map[model.JobID]bool{}
 }
 
 // Restore brings back what an earlier owner decided about a job. It is called
@@ -234,6 +246,7 @@
 	if j.state.Ended() && !j.forgotten && !j.active() {
 		j.forgotten = true
 		e.batch.Forgotten = append(e.batch.Forgotten, ForgottenJob{Job: j.id, Tasks: j.recorded()})
+		e.forgotten[j.id] = true
 		delete(e.jobs, j.id)
 		delete(e.timed, j)
 	}
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -153,13 +153,16 @@
 
 	workers map[model.VMID]*worker
 	jobs    map[model.JobID]*job
-	ready   map[*step]struct{} // steps with tasks to place
-	timed   map[*job]struct{}  // jobs with occurrences to open
-	pass    int
-	room    model.Resources // free in this pass, less what more urgent steps wait for
-	asks    asks
-	askers  int
-	version uint64 // counts changes that may let a blocked step go on
+	// forgotten and forgottenBefore hold the jobs that were forgotten, in two generations.
+	forgotten       map[model.JobID]bool
+	forgottenBefore map[model.JobID]bool
+	ready           map[*step]struct{} // steps with tasks to place
+	timed           map[*job]struct{}  // jobs with occurrences to open
+	pass            int
+	room            model.Resources // free in this pass, less what more urgent steps wait for
+	asks            asks
+	askers          int
+	version         uint64 // counts changes that may let a blocked step go on
 
 	batch   Batch
 	stops   []StopOrder
@@ -180,14 +183,15 @@
 // New returns an engine without jobs and workers.
 func New(settings Settings) *Engine {
 	return &Engine{
-		settings: settings,
-		queues:   map[string]Queue{},
-		teams:    map[string]*team{},
-		domains:  map[model.FailureDomain]bool{},
-		workers:  map[model.VMID]*worker{},
-		jobs:     map[model.JobID]*job{},
-		ready:    map[*step]struct{}{},
-		timed:    map[*job]struct{}{},
+		settings:  settings,
+		queues:    map[string]Queue{},
+		teams:     map[string]*team{},
+		domains:   map[model.FailureDomain]bool{},
+		workers:   map[model.VMID]*worker{},
+		jobs:      map[model.JobID]*job{},
+		forgotten: map[model.JobID]bool{},
+		ready:     map[*step]struct{}{},
+		timed:     map[*job]struct{}{},
 	}
 }
 
