Pass calls to the store through other nodes while it turns a node away

Cause: a node that the store turns away kept its configuration and could take no job for the length of the trouble. Ruled out: waiting it out: nine seconds are longer than the bounds for keys. Change: the store client uses a relay for a second after a failed call; any node passes calls on.

--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,9 +90,9 @@
 func build(settings platform.Settings, logger logrus.FieldLogger) (*node, error) {
 	n := &node{
 		settings: settings, logger: logger, clock: sysclock.Clock{},
-		store: platform.NewStore(settings.StoreAddress), advisor: platform.NewAdvisor(settings.PolicyAddress),
-		policy: &policy.Holder{},
+		advisor: platform.NewAdvisor(settings.PolicyAddress), policy: &policy.Holder{},
 	}
+	n.store = platform.NewStore(settings.StoreAddress, n.clock, n.relay)
 	n.replica = replica.New(n.clock, logger.WithField("part", "replica"))
 	n.cell = &logtail.Tail{
 		Log: n.store, Clock: n.clock, Topic: replica.CellTopic, Follower: n.replica,
@@ -273,8 +276,55 @@
 	}
 }
 
+// relay makes a call to the store through another node. It tries two, chosen
+// at random: some may be turned away as well.
+func (n *node) relay(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	members := n.replica.Members()
+	delete(members, n.settings.Node)
+	addresses := slices.Collect(maps.Values(members))
+	if len(addresses) == 0 {
+		addresses = slices.DeleteFunc(slices.Clone(n.settings.PeerSeeds), func(seed string) bool { return seed == n.settings.PeerAddress })
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	err := port.NotStarted.New("no other node is known")
+	for _, address := range addresses[:min(len(addresses), relayTries)] {
+		var reply *peerpb.Response
+		reply, err = n.calls.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_StoreCall{StoreCall: &peerpb.StoreCall{
+			Method: method, Target: target, Body: body,
+		}}})
+		if port.NotStarted.Has(err) {
+			continue
+		}
+		if err != nil {
+			return 0, nil, err
+		}
+		if answer := reply.GetStoreReply(); answer != nil {
+			return int(answer.GetStatus()), answer.GetBody(), nil
+		}
+		return 0, nil, errs.New("node at %s got no answer from the store", address)
+	}
+	return 0, nil, err
+}
+
+// relayTries is the number of nodes that are asked to pass a call on.
+const relayTries = 2
+
+// passOn makes a call to the store for another node.
+func (n *node) passOn(ctx context.Context, call *peerpb.StoreCall) *peerpb.Response {
+	status, body, err := n.store.Direct(ctx, call.GetMethod(), call.GetTarget(), call.GetBody())
+	if err != nil {
+		return &peerpb.Response{Body: &peerpb.Response_Ack{Ack: &peerpb.Ack{
+			Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_UNAVAILABLE, Detail: err.Error()},
+		}}}
+	}
+	return &peerpb.Response{Body: &peerpb.Response_StoreReply{StoreReply: &peerpb.StoreReply{Status: int32(status), Body: body}}}
+}
+
 // Serve implements port.PeerHandler.
 func (n *node) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+	if call := request.GetStoreCall(); call != nil {
+		return n.passOn(ctx, call)
+	}
 	if message := request.GetKeepRecords(); message != nil {
 		return &peerpb.Response{Body: &peerpb.Response_Ack{Ack: n.keep(ctx, message)}}
 	}
