--- a/cmd/balsam-node/main.go
+++ b/cmd/balsam-node/main.go
@@ -8,14 +8,17 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
-	"github.com/sirupsen/logrus"
-
+	"github.com/balsamhitch/balsamhitch/internal/app/logsink"
 	"github.com/balsamhitch/balsamhitch/internal/app/node"
 	"github.com/balsamhitch/balsamhitch/internal/app/program"
 	"github.com/balsamhitch/balsamhitch/platform"
 )
 
+// flushTime bounds the writing of the last log lines.
+const flushTime = 200 * time.Millisecond
+
 func main() {
 	program.Main("balsam-node",
 		"Serves callers on one VM of a balsamhitch cell and takes part in the cell's ownership.",
@@ -23,9 +26,8 @@
 }
 
 func run(ctx context.Context, settings platform.Settings) error {
-	logger := logrus.New()
-	logger.SetOutput(os.Stdout)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger, sink := logsink.New(os.Stdout)
+	defer sink.Close(flushTime)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
@@ -94,6 +97,7 @@
 	}
 	if now-t.cleanedAt > cleanInterval {
 		t.cleanedAt = now
+		t.measure()
 		records = append(records, replica.DropEnds(t.Replica.EndedBefore(t.Clock.Wall().Add(-t.EndsKept)))...)
 	}
 	if now-t.signedAt > signInterval || leaving {
@@ -196,7 +200,8 @@
 // log writes one line for each decision.
 func (t *tenure) log(events []dispatch.Event) {
 	for _, event := range events {
-		fields := logrus.Fields{"job": event.Job, "epoch": t.epoch}
+		t.count(event)
+		fields := logrus.Fields{"job": event.Job, "team": event.Team, "queue": event.Queue, "epoch": t.epoch}
 		if event.Task != "" {
 			fields["task"] = event.Task
 			fields["run"] = event.Run
@@ -210,3 +215,44 @@
 		t.Logger.WithFields(fields).Info(event.Kind)
 	}
 }
+
+// count notes an event in the metrics.
+func (t *tenure) count(event dispatch.Event) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("balsam_decisions_total{kind=%q,queue=%q}", event.Kind, event.Queue)).Inc()
+	name := ""
+	switch event.Kind {
+	case dispatch.EventJobBegan:
+		name = "balsam_job_first_start_seconds"
+	case "job_" + string(dispatch.Completed):
+		name = "balsam_job_completed_seconds"
+	default:
+		return
+	}
+	waited := t.Clock.Wall().Sub(event.Submitted)
+	metrics.GetOrCreateHistogram(fmt.Sprintf("%s{team=%q,queue=%q}", name, event.Team, event.Queue)).Update(waited.Seconds())
+}
+
+// measure notes how much the owner holds.
+func (t *tenure) measure() {
+	t.mu.Lock()
+	jobs, waiting, placed := t.engine.Counts()
+	t.mu.Unlock()
+	metrics.GetOrCreateCounter("balsam_owner_jobs").Set(uint64(jobs))
+	metrics.GetOrCreateCounter("balsam_owner_tasks_waiting").Set(uint64(waiting))
+	metrics.GetOrCreateCounter("balsam_owner_tasks_placed").Set(uint64(placed))
+}
+
+// countOrder notes how a worker answered an order.
+func countOrder(order string, err error) {
+	answer := "done"
+	var rejected *port.RejectedError
+	switch {
+	case errors.As(err, &rejected):
+		answer = string(rejected.Reason)
+	case port.NotStarted.Has(err):
+		answer = "unreachable"
+	case err != nil:
+		answer = "unknown"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("balsam_worker_orders_total{order=%q,answer=%q}", order, answer)).Inc()
+}
--- a/internal/app/dispatcher/contact.go
+++ b/internal/app/dispatcher/contact.go
@@ -183,6 +183,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, request.Wait+callMargin)
 	report, err := t.Workers.Look(callCtx, target, request)
 	cancel()
+	countOrder("look", err)
 	if err != nil {
 		t.lookFailed(c, err)
 		return false, err
@@ -294,6 +295,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, startTime)
 		clock, err := t.Workers.Start(callCtx, c.target(), order, token, until)
 		cancel()
+		countOrder("start", err)
 		if err == nil {
 			t.started(order, clock)
 			return
@@ -368,6 +370,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, stopTime)
 		clock, err := t.Workers.Stop(callCtx, c.target(), order, c.token(t.epoch))
 		cancel()
+		countOrder("stop", err)
 		t.mu.Lock()
 		if err == nil {
 			t.engine.Stopped(order.Task, order.Run, order.Worker, clock)
--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
@@ -31,6 +33,11 @@
 	Invalid             // the call can't be read
 )
 
+// String returns the outcome's name in metrics.
+func (o Outcome) String() string {
+	return [...]string{"accepted", "unavailable", "unknown", "no_key", "no_route", "no_job", "invalid"}[o]
+}
+
 const (
 	// forwardTime bounds the way through the owner: a few batches of a slow log.
 	forwardTime = 1200 * time.Millisecond
@@ -95,8 +102,11 @@
 		s.Logger.WithError(err).WithField("job", id).Warn("submission can't be encoded")
 		return Invalid
 	}
+	began := s.Clock.Now()
 	outcome := s.append(ctx, id, record)
 	s.decided("submission", id, outcome, spec.Team)
+	metrics.GetOrCreateHistogram(fmt.Sprintf("balsam_submission_seconds{team=%q,outcome=%q}", spec.Team, outcome)).
+		Update((s.Clock.Now() - began).Seconds())
 	return outcome
 }
 
@@ -151,7 +161,7 @@
 }
 
 func (s *Service) decided(what string, id model.JobID, outcome Outcome, team string) {
-	fields := logrus.Fields{"job": id, "team": team, "policy_version": s.Policy.Get().Version}
+	fields := logrus.Fields{"job": id, "team": team, "policy_version": s.Policy.Get().Version, "owner": s.Replica.Owner().Node, "replica_age_ms": (s.Clock.Now() - s.Tail.Fresh()).Milliseconds()}
 	switch outcome {
 	case Done:
 		s.Logger.WithFields(fields).Info(what + " accepted")
--- /dev/null
+++ b/internal/app/logsink/logsink_test.go
@@ -0,0 +1,57 @@
+package logsink
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.got.Write(p)
+}
+
+func TestAReaderThatNeverReadsHoldsNothingBack(t *testing.T) {
+	out := &stuckWriter{release: make(chan struct{})}
+	logger, sink := New(out)
+	detail := strings.Repeat("x", 1000)
+	began := time.Now()
+	for range 20_000 { // some 20 MB
+		logger.WithField("detail", detail).Info("ordinary")
+	}
+	for range 100 {
+		logger.WithField("detail", detail).Warn("kept longest")
+	}
+	assert.Less(t, time.Since(began), 10*time.Second)
+	sink.mu.Lock()
+	waiting := len(sink.buffer)
+	sink.mu.Unlock()
+	assert.LessOrEqual(t, waiting, bufferBytes)
+
+	close(out.release)
+	sink.Close(5 * time.Second)
+	written := out.got.String()
+	assert.Equal(t, 100, strings.Count(written, `"msg":"kept longest"`))
+	assert.Contains(t, written, `"msg":"log lines left out"`)
+}
+
+func TestLinesAreWrittenOnClose(t *testing.T) {
+	var out bytes.Buffer
+	logger, sink := New(&out)
+	logger.Info("node stops")
+	sink.Close(time.Second)
+	assert.Contains(t, out.String(), "node stops")
+}
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/app/dispatcher"
 	"github.com/balsamhitch/balsamhitch/internal/app/intake"
 	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
+	"github.com/balsamhitch/balsamhitch/internal/app/probe"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
 	"github.com/balsamhitch/balsamhitch/internal/app/tenure"
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
@@ -164,8 +165,11 @@
 	go n.cell.Run(work)
 	go n.announce(work)
 	go candidate.Run(work)
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	go func() { failed <- n.ingress.Run() }()
+	if n.settings.MetricsAddress != "" {
+		go func() { failed <- probe.New(n.settings.MetricsAddress, n.ingress.Ready).Run() }()
+	}
 	for {
 		select {
 		case err := <-failed:
--- a/internal/app/tenure/tenure.go
+++ b/internal/app/tenure/tenure.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
@@ -77,7 +78,8 @@
 			pause(ctx, checkInterval+rand.N(spread))
 			continue
 		}
-		c.Logger.WithField("epoch", epoch).Info("cell claimed")
+		metrics.GetOrCreateCounter("balsam_owner_claims_total").Inc()
+		c.Logger.WithFields(logrus.Fields{"epoch": epoch, "silent_owner": c.Replica.Owner().Node, "silent_ms": (c.Clock.Now() - c.Replica.Owner().At).Milliseconds()}).Info("cell claimed")
 		err = c.Owner.Serve(ctx, epoch)
 		c.Logger.WithField("epoch", epoch).WithError(err).Warn("cell given up")
 		started = c.Clock.Now()
--- a/internal/core/dispatch/jobs.go
+++ b/internal/core/dispatch/jobs.go
@@ -67,6 +67,7 @@
 	t := s.tasks[fact.Task.Index]
 	t.run, t.failures, t.checkpoint = fact.Run, fact.Failures, fact.Checkpoint
 	t.ran = !fact.Unstarted
+	j.began = j.began || t.ran
 	if s.gang != nil {
 		s.gang.run = max(s.gang.run, fact.Run)
 		s.gang.failures = max(s.gang.failures, fact.Failures)
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -76,10 +76,19 @@
 		return
 	}
 	t.phase = running
-	t.ran = true
+	e.began(t)
 	t.seenAt = clock
 }
 
+// began notes that a run of the task is known to have begun.
+func (e *Engine) began(t *task) {
+	t.ran = true
+	if j := t.step.occurrence.job; !j.began {
+		j.began = true
+		e.event(EventJobBegan, t, "")
+	}
+}
+
 // Rejected takes a worker's word, or the certainty, that a start had no effect
 // and never will have.
 func (e *Engine) Rejected(name TaskName, run uint64, id model.VMID, reason string, now time.Duration) {
@@ -198,7 +207,7 @@
 	if t == nil {
 		return
 	}
-	t.ran = true
+	e.began(t)
 	w.health.ended(end.How, t, now)
 	if end.How == EndFailed {
 		t.failedOn = w.info.ID
@@ -221,7 +230,7 @@
 			}
 			continue
 		}
-		t.ran = true
+		e.began(t)
 		if t.phase == placed {
 			t.phase = running
 		}
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -22,6 +22,7 @@
 	spec        JobSpec
 	state       JobState
 	forgotten   bool
+	began       bool       // a run of the job is known to have begun
 	dropped     []TaskName // tasks of completed occurrences that have records
 	occurrences map[int]*occurrence
 	completed   map[int]bool // occurrences
@@ -170,6 +171,9 @@
 	events  []Event
 }
 
+// EventJobBegan is the kind of the event that a job's first run has begun.
+const EventJobBegan = "job_began"
+
 // Event is a decision for the log.
 type Event struct {
 	Kind   string
@@ -178,6 +182,14 @@
 	Run    uint64
 	Worker model.VMID
 	Detail string
+	// Team, Queue and Submitted tell of the job.
+	Team      string
+	Queue     string
+	Submitted time.Time
+}
+
+func newEvent(kind string, j *job, detail string) Event {
+	return Event{Kind: kind, Job: j.id, Detail: detail, Team: j.spec.Team, Queue: j.spec.Queue.Name, Submitted: j.spec.Submitted}
 }
 
 // New returns an engine without jobs and workers.
@@ -259,7 +271,8 @@
 }
 
 func (e *Engine) event(kind string, t *task, detail string) {
-	event := Event{Kind: kind, Job: t.step.occurrence.job.id, Task: t.name().String(), Run: t.run, Detail: detail}
+	event := newEvent(kind, t.step.occurrence.job, detail)
+	event.Task, event.Run = t.name().String(), t.run
 	if t.worker != nil {
 		event.Worker = t.worker.info.ID
 	}
@@ -267,7 +280,7 @@
 }
 
 func (e *Engine) jobEvent(kind string, j *job, detail string) {
-	e.events = append(e.events, Event{Kind: kind, Job: j.id, Detail: detail})
+	e.events = append(e.events, newEvent(kind, j, detail))
 }
 
 func (e *Engine) record(t *task) { e.batch.Tasks = append(e.batch.Tasks, t.fact()) }
