Ask a quiet owner; count a team's claims against its limit; grace after an outage

Cause: a takeover waited out 0.7 s of silence although the owner's process was gone; steps of a team at its limit asked the placement policy and kept others from asking; after an outage of the log a living owner was replaced. Ruled out: processor time (0.13 of a core at most in the owner). Change: a node whose signs are overdue is asked whether it still serves; claims are counted by team; silence counts from when the log answers again; a gang whose member has a doubtful start is stopped as a whole.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -117,6 +117,7 @@
 	candidate := &tenure.Candidate{
 		Node: name, Log: n.log, Clock: c.clock, Replica: n.replica, Tail: tail, Owner: n.owner, Logger: logger,
 		Leaving: func() bool { return false },
+		Gone:    func(context.Context, replica.OwnerSign) bool { return false },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -50,6 +50,7 @@
 	options Options
 	owning  atomic.Bool
 	leaving atomic.Bool
+	epoch   atomic.Uint64 // of the last tenure
 	current atomic.Pointer[tenure]
 }
 
@@ -59,6 +60,10 @@
 // Owning reports whether this node owns the cell.
 func (d *Dispatcher) Owning() bool { return d.owning.Load() }
 
+// Serving reports whether this node is the owner of the epoch, or of a later
+// one.
+func (d *Dispatcher) Serving(epoch uint64) bool { return d.epoch.Load() >= epoch && d.owning.Load() }
+
 // Resign makes a tenure under way end at its next append.
 func (d *Dispatcher) Resign() { d.leaving.Store(true) }
 
@@ -76,6 +81,7 @@
 		committed: make(chan struct{}),
 		engine:    dispatch.New(d.options.Engine),
 	}
+	d.epoch.Store(epoch)
 	d.owning.Store(true)
 	defer d.owning.Store(false)
 	if err := t.takeOver(ctx); err != nil {
--- a/internal/app/logtail/logtail.go
+++ b/internal/app/logtail/logtail.go
@@ -24,7 +24,7 @@
 const (
 	// longPoll bounds how long a silent connection stays unnoticed.
 	longPoll   = 600 * time.Millisecond
-	readBudget = longPoll + 500*time.Millisecond
+	readMargin = 500 * time.Millisecond // of an answer beyond the wait
 	// pageBudget bounds one page of the newest records, up to 1 MB.
 	pageBudget = 2 * time.Second
 	retryPause = 50 * time.Millisecond
@@ -39,14 +39,21 @@
 	Logger   logrus.FieldLogger
 	// Pace is the pause after records were read; it bounds the calls.
 	Pace func() time.Duration
+	// Poll is how long a read may wait for a record; nil for the longest.
+	Poll func() time.Duration
 
-	fresh  atomic.Int64 // clock reading at which the last answered read was sent
-	offset atomic.Uint64
+	regained atomic.Int64 // clock reading at which reads were answered again
+	fresh    atomic.Int64 // clock reading at which the last answered read was sent
+	offset   atomic.Uint64
 }
 
 // Fresh returns the clock reading up to which the picture is known to be whole.
 func (t *Tail) Fresh() time.Duration { return time.Duration(t.fresh.Load()) }
 
+// Regained returns the clock reading at which reads were last answered again
+// after none had been.
+func (t *Tail) Regained() time.Duration { return time.Duration(t.regained.Load()) }
+
 // Offset returns the offset after the last record that was applied.
 func (t *Tail) Offset() uint64 { return t.offset.Load() }
 
@@ -72,6 +79,9 @@
 		}
 		if lost != (err != nil) && ctx.Err() == nil {
 			lost = err != nil
+			if !lost {
+				t.regained.Store(int64(t.Clock.Now()))
+			}
 			t.logContact(lost, err)
 		}
 		if err != nil {
@@ -116,8 +126,12 @@
 }
 
 func (t *Tail) read(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, readBudget)
-	batch, err := t.Log.Read(callCtx, t.Topic, t.Offset(), longPoll)
+	wait := longPoll
+	if t.Poll != nil {
+		wait = min(wait, t.Poll())
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+readMargin)
+	batch, err := t.Log.Read(callCtx, t.Topic, t.Offset(), wait)
 	cancel()
 	if err != nil {
 		return err
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"os"
 	"runtime/debug"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -159,7 +161,13 @@
 	candidate := &tenure.Candidate{
 		Node: n.settings.Node, Address: n.settings.PeerAddress, Handicap: n.handicap(),
 		Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cell, Owner: n.owner,
-		Logger: n.logger.WithField("part", "tenure"), Leaving: n.isLeaving,
+		Logger: n.logger.WithField("part", "tenure"), Leaving: n.isLeaving, Gone: n.ownerGone,
+	}
+	n.cell.Poll = func() time.Duration {
+		if candidate.Quiet() {
+			return quietPoll
+		}
+		return longestPoll
 	}
 	go n.operator.Run(work)
 	go n.cell.Run(work)
@@ -310,6 +318,28 @@
 	return 0, nil, err
 }
 
+const (
+	// quietPoll keeps the reads short while the owner's sign is overdue, so that
+	// its silence is proved soon.
+	quietPoll   = 100 * time.Millisecond
+	longestPoll = time.Second
+)
+
+// ownerGone asks the owner whether it still serves. A node that refuses
+// connections has no process any more.
+func (n *node) ownerGone(ctx context.Context, owner replica.OwnerSign) bool {
+	address, known := n.replica.Members()[owner.Node]
+	if !known {
+		return false
+	}
+	reply, err := n.calls.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{Epoch: owner.Epoch}}})
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	answer := reply.GetOwnerReply()
+	return answer != nil && !answer.GetServing()
+}
+
 // relayTries is the number of nodes that are asked to pass a call on.
 const relayTries = 2
 
@@ -326,6 +356,9 @@
 
 // Serve implements port.PeerHandler.
 func (n *node) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+	if query := request.GetOwnerQuery(); query != nil {
+		return &peerpb.Response{Body: &peerpb.Response_OwnerReply{OwnerReply: &peerpb.OwnerReply{Serving: n.owner.Serving(query.GetEpoch())}}}
+	}
 	if call := request.GetStoreCall(); call != nil {
 		return n.passOn(ctx, call)
 	}
--- a/internal/app/tenure/tenure.go
+++ b/internal/app/tenure/tenure.go
@@ -26,6 +26,10 @@
 	// quick; a slow log makes the gaps between its signs longer.
 	silence   = 700 * time.Millisecond
 	gapFactor = 3
+	// quietAfter is the age of the last sign at which the owner is asked whether
+	// it still serves: more than the usual time between two signs.
+	quietAfter = 400 * time.Millisecond
+	askTime    = 200 * time.Millisecond
 	// checkInterval is how often a node looks for a silent owner.
 	checkInterval = 50 * time.Millisecond
 	// spread keeps nodes from claiming at the same moment.
@@ -54,6 +58,9 @@
 	Logger   logrus.FieldLogger
 	// Leaving reports that the node is about to stop and takes no office.
 	Leaving func() bool
+	// Gone asks a node whether it has given up the cell or no longer runs; a
+	// node that does not answer is not gone.
+	Gone func(ctx context.Context, sign replica.OwnerSign) bool
 
 	// The newest claim without a sign of its holder, and when it was first seen.
 	seenClaim   uint64
@@ -64,15 +71,16 @@
 func (c *Candidate) Run(ctx context.Context) {
 	started := c.Clock.Now()
 	for ctx.Err() == nil {
-		if !c.ownerSilent(started) || c.Leaving() {
+		if !c.ownerSilent(started) && !c.ownerGone(ctx) || c.Leaving() {
 			pause(ctx, checkInterval)
 			continue
 		}
+		silent := c.Replica.Owner().Epoch
 		pause(ctx, c.Handicap+rand.N(spread))
-		if !c.ownerSilent(started) || c.Leaving() || ctx.Err() != nil {
+		if c.Replica.Owner().Epoch != silent || c.Leaving() || ctx.Err() != nil {
 			continue
 		}
-		epoch, err := c.claim(ctx, c.Replica.Owner().Epoch)
+		epoch, err := c.claim(ctx, silent)
 		if err != nil {
 			c.Logger.WithError(err).Info("claim of the cell failed")
 			pause(ctx, checkInterval+rand.N(spread))
@@ -97,7 +105,26 @@
 	if sign.Epoch == 0 || sign.Resigned {
 		return sign.Node != c.Node || c.Clock.Now()-started > silence
 	}
-	return fresh-max(sign.At, started) > max(silence, gapFactor*sign.Gap)
+	// After an outage the owner, too, needs a moment to be heard again.
+	since := max(sign.At, started, c.Tail.Regained())
+	return fresh-since > max(silence, gapFactor*sign.Gap)
+}
+
+// Quiet reports whether the owner's last sign is old enough to look for its
+// successor.
+func (c *Candidate) Quiet() bool {
+	return c.Clock.Now()-c.Replica.Owner().At > quietAfter
+}
+
+// ownerGone asks the owner itself once its signs are overdue.
+func (c *Candidate) ownerGone(ctx context.Context) bool {
+	sign := c.Replica.Owner()
+	if !c.Quiet() || sign.Epoch == 0 || sign.Node == c.Node || c.Tail.Fresh() < sign.At {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	return c.Gone(callCtx, sign)
 }
 
 // claim appends a claim after the newest one. It returns the epoch. silent is
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -25,6 +25,7 @@
 		e.openOccurrences(j, wall)
 	}
 	e.room = e.freeRoom(now)
+	clear(e.claims)
 	for _, s := range e.order(wall) {
 		if !e.advised(s) && s.blocked == e.version && s.blocked != 0 {
 			continue
@@ -34,10 +35,22 @@
 			continue
 		}
 		s.blocked = version
-		e.room = e.room.Sub(s.spec.footprint().Scale(int64(s.waiting)))
+		e.claim(s)
 	}
 }
 
+// claim takes what the step waits for out of the room of less urgent ones, as
+// far as its team may have it.
+func (e *Engine) claim(s *step) {
+	owner := e.team(s.occurrence.job.spec.Team)
+	wanted := s.spec.Size.Scale(int64(s.waiting))
+	if !withinLimit(owner, e.claims[owner].Add(wanted)) {
+		return
+	}
+	e.claims[owner] = e.claims[owner].Add(wanted)
+	e.room = e.room.Sub(s.spec.footprint().Scale(int64(s.waiting)))
+}
+
 // freeRoom returns what the workers that take new work have free together.
 func (e *Engine) freeRoom(now time.Duration) model.Resources {
 	var room model.Resources
@@ -343,9 +356,17 @@
 
 // ask decides whether the placement policy is to be asked about more workers.
 func (e *Engine) ask(s *step, now time.Duration) {
+	if !e.advised(s) || s.asking || now < s.askAfter {
+		return
+	}
 	size := s.spec.footprint()
-	if !e.advised(s) || s.asking || now < s.askAfter || !size.Fits(e.room) {
-		return // more urgent steps will take what is free
+	least := s.spec.Size
+	if s.gang != nil {
+		least = least.Scale(int64(len(s.tasks)))
+	}
+	owner := e.team(s.occurrence.job.spec.Team)
+	if !size.Fits(e.room) || !withinLimit(owner, e.claims[owner].Add(least)) {
+		return // more urgent steps will take what is left
 	}
 	type candidate struct {
 		worker *worker
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -296,6 +296,10 @@
 		e.event("start_doubtful", t, "")
 		e.stop(t)
 		e.record(t)
+		if t.step.gang != nil { // the others would wait for it in vain
+			t.step.gang.breaking = true
+			e.finishGang(t.step)
+		}
 	}
 }
 
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -160,7 +160,8 @@
 	ready           map[*step]struct{} // steps with tasks to place
 	timed           map[*job]struct{}  // jobs with occurrences to open
 	pass            int
-	room            model.Resources // free in this pass, less what more urgent steps wait for
+	room            model.Resources           // free in this pass, less what more urgent steps wait for
+	claims          map[*team]model.Resources // of teams in this pass
 	asks            asks
 	askers          int
 	version         uint64 // counts changes that may let a blocked step go on
@@ -201,6 +202,7 @@
 		domains:   map[model.FailureDomain]bool{},
 		workers:   map[model.VMID]*worker{},
 		jobs:      map[model.JobID]*job{},
+		claims:    map[*team]model.Resources{},
 		forgotten: map[model.JobID]bool{},
 		ready:     map[*step]struct{}{},
 		timed:     map[*job]struct{}{},
