--- a/internal/app/celltest/worker_test.go
+++ b/internal/app/celltest/worker_test.go
@@ -57,10 +57,7 @@
 	stopped bool
 }
 
-type fakeGang struct {
-	members map[model.VMID]int
-	present int
-}
+type fakeGang struct{ present int }
 
 const (
 	longestLease = 6 * time.Second
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -219,7 +219,7 @@
 // count notes an event in the metrics.
 func (t *tenure) count(event dispatch.Event) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("balsam_decisions_total{kind=%q,queue=%q}", event.Kind, event.Queue)).Inc()
-	name := ""
+	var name string
 	switch event.Kind {
 	case dispatch.EventJobBegan:
 		name = "balsam_job_first_start_seconds"
