Refuse at once what the log certainly did not take; balsamctl explain

Cause: during an outage the owner held callers' records in an append that could not succeed, so that their outcome was unknown (504 after 1.8 s) though the log had refused it; dead workers blocked their tasks for 11.4 s after a takeover. Ruled out: the nodes' own way to the log, it was refused as well. Change: an owner whose append fails takes no new records; a call that certainly had no effect is refused after 0.5 s; leases are renewed for 3 s without the log.

--- a/cmd/balsamctl/commands.go
+++ b/cmd/balsamctl/commands.go
@@ -11,6 +11,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/adapter/settings"
 	"github.com/balsamhitch/balsamhitch/internal/adapter/vmclient"
 	"github.com/balsamhitch/balsamhitch/internal/app/ctl"
+	"github.com/balsamhitch/balsamhitch/internal/app/explain"
 	"github.com/balsamhitch/balsamhitch/internal/core/config"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
@@ -41,6 +42,7 @@
 	Key      keyCmd      `cmd:"" help:"Issue and withdraw keys."`
 	Domain   domainCmd   `cmd:"" help:"Take failure domains out of service and back."`
 	Status   statusCmd   `cmd:"" help:"Show members, partitions, teams and VMs."`
+	Explain  explainCmd  `cmd:"" help:"Tell one request's life from the nodes' logs."`
 }
 
 // global holds the flags of all commands.
@@ -218,3 +220,14 @@
 func (*statusCmd) Run(ctx context.Context, g *global) error {
 	return g.with(func(client *ctl.Client) error { return client.ShowStatus(ctx) })
 }
+
+// explainCmd reads logs and tells the life of one request.
+type explainCmd struct {
+	ID    string   `arg:"" help:"Id of the request."`
+	Files []string `arg:"" optional:"" help:"Log files of any number of nodes (default: standard input)." type:"existingfile"`
+}
+
+// Run implements the command.
+func (c *explainCmd) Run() error {
+	return explain.Files(os.Stdout, c.ID, c.Files)
+}
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -174,6 +174,8 @@
 		}
 		if !lost {
 			lost = true
+			t.stuck.Store(true)
+			defer t.stuck.Store(false)
 			t.Logger.WithError(err).Warn("cell log took no append, trying again")
 		}
 		if err := sleep(ctx, appendPause); err != nil {
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -111,6 +111,9 @@
 		return port.NotStarted.New("this node does not own the cell")
 	}
 	w := &wish{records: records, done: make(chan error, 1)}
+	if t.stuck.Load() {
+		return port.NotStarted.New("the log takes no append from this node")
+	}
 	if !t.addWish(w) {
 		return port.NotStarted.New("this node no longer owns the cell")
 	}
@@ -167,6 +170,7 @@
 
 	sequence  uint64 // of the next append
 	lastAck   atomic.Int64
+	stuck     atomic.Bool   // the append under way has failed at least once
 	signedAt  time.Duration // last sign of life, of the commit loop
 	cleanedAt time.Duration
 	agedAt    time.Duration // when a generation of ended jobs began
@@ -204,7 +208,7 @@
 	producerName  = "cell"
 	// renewLimit is how long leases are renewed without a word of the log. A
 	// new owner waits it out for workers that it does not reach.
-	renewLimit = 6 * time.Second
+	renewLimit = 3 * time.Second
 )
 
 // takeOver fences the former owner and restores the jobs.
--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -43,8 +43,11 @@
 	forwardTime = 1200 * time.Millisecond
 	appendTime  = 700 * time.Millisecond // of one attempt
 	appendPause = 40 * time.Millisecond
-	// giveUpAfter is how long the log is tried for one call.
+	// giveUpAfter is how long the log is tried for a call that may have had an
+	// effect; one that certainly had none is refused sooner, so that the caller
+	// can come back within its own deadline.
 	giveUpAfter = 1800 * time.Millisecond
+	refuseAfter = 500 * time.Millisecond
 	// staleAfter is how old the replica may be for "no such job".
 	staleAfter = 1500 * time.Millisecond
 )
@@ -148,7 +151,8 @@
 		if !port.Refused.Has(err) && !port.NotStarted.Has(err) {
 			unknown = true
 		}
-		if ctx.Err() != nil || s.Clock.Now()-began > giveUpAfter {
+		tried := s.Clock.Now() - began
+		if ctx.Err() != nil || tried > giveUpAfter || !unknown && tried > refuseAfter {
 			s.Logger.WithError(err).WithField("job", id).Debug("log did not take the record")
 			break
 		}
