--- a/internal/app/logsink/logsink.go
+++ b/internal/app/logsink/logsink.go
@@ -5,6 +5,7 @@
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -21,6 +22,9 @@
 	ordinaryShare = 0.5
 	// flushPause lets lines gather into one write.
 	flushPause = 100 * time.Millisecond
+	// atomicWrite is the size up to which a write to a pipe is not mixed with
+	// those of other processes (PIPE_BUF on Linux).
+	atomicWrite = 4096
 )
 
 // Sink is a logrus formatter that keeps the lines instead of returning them.
@@ -113,8 +117,27 @@
 	}
 	clear(s.dropped)
 	s.mu.Unlock()
-	_, _ = s.out.Write(lines) // there is nowhere left to report a failed log write
+	for rest := lines; len(rest) > 0; {
+		piece := firstLines(rest)
+		_, _ = s.out.Write(piece) // there is nowhere left to report a failed log write
+		rest = rest[len(piece):]
+	}
 	s.mu.Lock()
 	s.spare = lines
 	s.mu.Unlock()
 }
+
+// firstLines returns as many whole lines as one atomic write takes, or the
+// first line if it is longer.
+func firstLines(lines []byte) []byte {
+	if len(lines) <= atomicWrite {
+		return lines
+	}
+	if end := bytes.LastIndexByte(lines[:atomicWrite], '\n'); end >= 0 {
+		return lines[:end+1]
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return lines[:end+1]
+	}
+	return lines
+}
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -36,9 +37,44 @@
 		}
 		s.blocked = version
 		e.claim(s)
+		e.tellWaiting(s, now, wall)
 	}
 }
 
+const (
+	// waitTold is how long a step waits until the log says why.
+	waitTold = time.Second
+	// waitToldAgain is the time between two such lines of one step.
+	waitToldAgain = 5 * time.Second
+)
+
+// tellWaiting logs why nothing of the step could be placed.
+func (e *Engine) tellWaiting(s *step, now time.Duration, wall time.Time) {
+	if wall.Sub(s.occurrence.due) < waitTold || s.toldAt != 0 && now-s.toldAt < waitToldAgain {
+		return
+	}
+	s.toldAt = now
+	size := s.spec.footprint()
+	usable, roomy, allowed := 0, 0, 0
+	for _, w := range e.workers {
+		if !e.usable(s, w, now) {
+			continue
+		}
+		usable++
+		if !size.Fits(w.free()) {
+			continue
+		}
+		roomy++
+		if e.allowed(s, w, now) {
+			allowed++
+		}
+	}
+	owner := e.team(s.occurrence.job.spec.Team)
+	e.jobEvent("job_waits", s.occurrence.job, fmt.Sprintf(
+		"step %d: %d tasks to place, team within limit: %t, workers usable/with room/approved: %d/%d/%d, asking the policy: %t",
+		s.index, s.waiting, withinLimit(owner, s.spec.Size), usable, roomy, allowed, s.asking))
+}
+
 // claim takes what the step waits for out of the room of less urgent ones, as
 // far as its team may have it.
 func (e *Engine) claim(s *step) {
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -51,7 +51,8 @@
 	refused  map[model.VMID]bool // workers that the policy does not allow
 	asking   bool
 	askAfter time.Duration
-	blocked  uint64 // version of the free capacity at which nothing could be placed
+	toldAt   time.Duration // when the log last said why it waits
+	blocked  uint64        // version of the free capacity at which nothing could be placed
 }
 
 // ticket is the policy's word that a worker may run the step.
