--- a/internal/app/celltest/worker_test.go
+++ b/internal/app/celltest/worker_test.go
@@ -401,3 +401,8 @@
 	defer f.mu.Unlock()
 	f.workers[id].cut = cut
 }
+
+// Pace implements port.CellWorker; the stand-in's tasks do not disturb others.
+func (f *fleet) Pace(context.Context, port.WorkerTarget, dispatch.PaceOrder, uint64) error {
+	return nil
+}
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -44,6 +44,7 @@
 	t.engine.Schedule(now, t.Clock.Wall())
 	batch := t.engine.Take()
 	stops := t.engine.TakeStops()
+	paces := t.engine.TakePaces()
 	queries := t.engine.TakeQueries()
 	events := t.engine.TakeEvents()
 	if now-t.agedAt > t.EndsKept {
@@ -61,6 +62,9 @@
 	for _, stop := range stops {
 		t.submit(func() { t.stop(ctx, stop) })
 	}
+	for _, pace := range paces {
+		t.submit(func() { t.pace(ctx, pace) })
+	}
 	for _, query := range queries {
 		go t.advise(ctx, query) // waits for the policy; their number is that of the waiting steps
 	}
--- a/internal/app/dispatcher/contact.go
+++ b/internal/app/dispatcher/contact.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
@@ -135,10 +136,10 @@
 	group.Go(func() { t.lookLoop(ctx, c) })
 }
 
-func (t *tenure) contact(order dispatch.StartOrder) *contact {
+func (t *tenure) contact(worker model.VMID) *contact {
 	t.contactsMu.Lock()
 	defer t.contactsMu.Unlock()
-	return t.contacts[order.Worker]
+	return t.contacts[worker]
 }
 
 // lookLoop keeps in touch with one worker until it is gone.
@@ -276,7 +277,7 @@
 
 // start gives a start order until its effect is known.
 func (t *tenure) start(ctx context.Context, order dispatch.StartOrder) {
-	c := t.contact(order)
+	c := t.contact(order.Worker)
 	if c == nil {
 		t.rejected(order, "worker is gone")
 		return
@@ -363,7 +364,7 @@
 // stop gives a stop order until the worker has answered or the run has ended.
 func (t *tenure) stop(ctx context.Context, order dispatch.StopOrder) {
 	for ctx.Err() == nil {
-		c := t.contact(dispatch.StartOrder{Worker: order.Worker})
+		c := t.contact(order.Worker)
 		if c == nil {
 			return
 		}
@@ -383,3 +384,25 @@
 		_ = sleep(ctx, stopPause)
 	}
 }
+
+// pace gives an order on pace once. Without an answer the worker's next report
+// leads to another one.
+func (t *tenure) pace(ctx context.Context, order dispatch.PaceOrder) {
+	c := t.contact(order.Worker)
+	if c == nil {
+		return
+	}
+	token, current := c.tokenFor(t.epoch, order.Life)
+	if !current {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, stopTime)
+	err := t.Workers.Pace(callCtx, c.target(), order, token)
+	cancel()
+	countOrder("pace", err)
+	if err != nil {
+		t.mu.Lock()
+		t.engine.PaceLost(order)
+		t.mu.Unlock()
+	}
+}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -13,7 +13,7 @@
 func (e *Engine) worker(id model.VMID) *worker {
 	found, ok := e.workers[id]
 	if !ok {
-		found = &worker{info: WorkerInfo{ID: id}, tasks: map[TaskName]*task{}, strange: map[TaskName]uint64{}}
+		found = &worker{info: WorkerInfo{ID: id}, pace: fullPace, tasks: map[TaskName]*task{}, strange: map[TaskName]uint64{}}
 		e.workers[id] = found
 	}
 	return found
@@ -23,6 +23,7 @@
 func (e *Engine) assign(t *task, w *worker, life int64) {
 	t.worker, t.life = w, life
 	t.seenAt, t.adopted, t.percent, t.movedAt, t.began = 0, false, 0, 0, 0
+	t.paced = fullPace
 	w.used = w.used.Add(t.step.spec.footprint())
 	w.tasks[t.name()] = t
 	owner := e.team(t.step.occurrence.job.spec.Team)
@@ -147,6 +148,7 @@
 		e.batch.Acks = append(e.batch.Acks, Ack{Worker: id, Life: w.life, Sequence: w.seen})
 	}
 	listed := e.takeRunning(w, report, now)
+	e.pace(w, report.Running, now)
 	if !report.Partial {
 		e.takeMissing(w, report.Clock, listed)
 	}
@@ -284,6 +286,7 @@
 		for _, t := range w.tasks {
 			if t.phase == placed {
 				t.adopted = true
+				t.paced = unknownPace
 			}
 		}
 	}
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -84,6 +84,7 @@
 	failedOn   model.VMID
 	ran        bool          // a run is known to have begun
 	seenAt     time.Duration // worker clock at which the run was known to the worker; zero if unknown
+	paced      int           // percent that the worker was told; fullPace at the start
 	adopted    bool          // placed by an earlier owner; no order is under way
 	percent    int
 	movedAt    time.Duration // when percent last changed
@@ -126,6 +127,8 @@
 	seen     uint64              // ends that have been handled
 	reserved int                 // pass in which a gang reserved it
 	health   workerHealth
+	pace     int           // percent that filling tasks may do
+	pacedAt  time.Duration // when it last changed
 }
 
 func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.used) }
@@ -169,6 +172,7 @@
 
 	batch   Batch
 	stops   []StopOrder
+	paces   []PaceOrder
 	queries []AdviceQuery
 	events  []Event
 }
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -59,6 +59,8 @@
 	// Start and Stop return the worker's clock.
 	Start(ctx context.Context, target WorkerTarget, order dispatch.StartOrder, token uint64, leaseUntil time.Duration) (time.Duration, error)
 	Stop(ctx context.Context, target WorkerTarget, order dispatch.StopOrder, token uint64) (time.Duration, error)
+	// Pace sets how much of its work a task may do, until it is set anew.
+	Pace(ctx context.Context, target WorkerTarget, order dispatch.PaceOrder, token uint64) error
 }
 
 // Advisor asks the placement policy which workers may run a step. It returns
