Waves of upkeep; the check of generated code always runs

Cause: waves were not carried out at all; the check of generated code passed silently where protoc was missing. The list's word counts, and begun upkeeps are on the log for the next owner. Change: core/upkeep decides, the owner orders and reports; workers that are to have their upkeep take no new work.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	    --go_opt=module=github.com/balsamhitch/balsamhitch proto/$$dir/*.proto || exit 1; \
 	done
 
-check-generated: ## Fail if the committed protobuf code is out of date
+check-generated: tools ## Fail if the committed protobuf code is out of date
 	@.ci/check-generated
 
 fmt: ## Format all Go files
@@ -27,11 +27,12 @@
 check-fmt: ## Fail if a Go file is not formatted
 	@out=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
 
-tools: ## Install the pinned linter and generator
+tools: ## Install the pinned linter and generators (protoc from Debian, as root)
 	@$(GOBIN)/golangci-lint version 2>/dev/null | grep -qF "$(GOLANGCI_VERSION:v%=%)" || \
 	  $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 	@$(GOBIN)/protoc-gen-go --version 2>/dev/null | grep -qF "$(PROTOC_GEN_GO_VERSION)" || \
 	  $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	@command -v protoc >/dev/null || { apt-get update -qq && apt-get install -y -qq protobuf-compiler; } >/dev/null
 
 lint: tools ## Run the linter
 	$(GOBIN)/golangci-lint run ./...
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -36,11 +36,14 @@
 	Workers   port.CellWorker
 	Directory port.WorkerDirectory
 	Advice    port.Advisor
+	Machines  port.MachineKeeper
 	Pool      *ants.Pool
 	Logger    logrus.FieldLogger
 	Engine    dispatch.Settings
 	// Lease is how long a worker's runs live without a word of the owner.
 	Lease time.Duration
+	// UpkeepTime is how long a machine is down for its upkeep.
+	UpkeepTime time.Duration
 	// EndsKept is how long the end of a job can be asked for.
 	EndsKept time.Duration
 }
@@ -99,6 +102,7 @@
 		t.Directory.Follow(ctx, func(list []dispatch.WorkerInfo) { t.updateWorkers(ctx, &group, list) })
 	})
 	group.Go(func() { t.commitLoop(ctx) })
+	group.Go(func() { t.upkeepLoop(ctx) })
 	group.Wait()
 	return context.Cause(ctx)
 }
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -116,12 +116,14 @@
 		Workers:   platform.NewWorkers(workerConnections),
 		Directory: &platform.Directory{Log: n.store, Clock: n.clock, Logger: logger.WithField("part", "directory")},
 		Advice:    &advice.Pool{Node: settings.Node, Local: n.advisor, Peers: n.calls, Members: n.replica.Members, Clock: n.clock},
+		Machines:  platform.NewMachines(settings.MachinesAddress, n.store),
 		Pool:      pool, Logger: logger.WithField("part", "dispatcher"),
 		Engine: dispatch.Settings{
 			StopTime: settings.Bounds.Stop(), Early: settings.Bounds.Early(),
 			ContactTime: contactTime, TicketMargin: ticketMargin,
 		},
 		Lease: min(settings.Bounds.LongestLease(), longestLease), EndsKept: settings.Bounds.JobEndKept() + endsMargin,
+		UpkeepTime: settings.Bounds.Upkeep(),
 	})
 	service := &intake.Service{
 		Policy: n.policy, Log: n.store, Replica: n.replica, Tail: n.cell, Clock: n.clock,
--- a/internal/app/replica/keys.go
+++ b/internal/app/replica/keys.go
@@ -22,6 +22,7 @@
 	taskPrefix         = "t/"
 	occurrencePrefix   = "d/"
 	memberPrefix       = "m/"
+	upkeepPrefix       = "u/"
 	// OwnerKey is the key of the owner's sign of life.
 	OwnerKey = "o"
 )
--- a/internal/app/replica/records.go
+++ b/internal/app/replica/records.go
@@ -45,6 +45,11 @@
 	return message(MemberKey(node), &logpb.MemberRecord{Address: address})
 }
 
+// UpkeepRecord returns the record that a machine's upkeep has begun.
+func UpkeepRecord(wave, machine string) (port.KeyedRecord, error) {
+	return message(upkeepPrefix+wave+"/"+machine, &logpb.UpkeepRecord{Wave: wave, Machine: machine})
+}
+
 // BatchRecords returns the records that make a batch of decisions durable.
 func BatchRecords(batch *dispatch.Batch, now time.Time) ([]port.KeyedRecord, error) {
 	forgotten := make(map[model.JobID]bool, len(batch.Forgotten))
--- a/internal/app/replica/replica.go
+++ b/internal/app/replica/replica.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,7 @@
 
 	mu      sync.Mutex // guards what follows
 	members map[string]string
+	upkeeps map[string][]string // machines by wave
 	owner   OwnerSign
 }
 
@@ -115,7 +117,7 @@
 
 // New returns an empty replica.
 func New(clock port.Clock, logger logrus.FieldLogger) *Replica {
-	r := &Replica{clock: clock, logger: logger, members: map[string]string{}}
+	r := &Replica{clock: clock, logger: logger, members: map[string]string{}, upkeeps: map[string][]string{}}
 	r.current.Store(newTable())
 	return r
 }
@@ -127,6 +129,7 @@
 	defer r.apply.Unlock()
 	r.mu.Lock()
 	r.members = map[string]string{}
+	r.upkeeps = map[string][]string{}
 	r.mu.Unlock()
 	r.loading = newTable()
 	r.takeAll(records)
@@ -186,6 +189,8 @@
 		r.takeOccurrence(name, record.Value)
 	case memberPrefix:
 		return r.takeMember(name, record.Value)
+	case upkeepPrefix:
+		return r.takeUpkeep(record.Value)
 	}
 	return nil
 }
@@ -317,6 +322,25 @@
 	return nil
 }
 
+func (r *Replica) takeUpkeep(value []byte) error {
+	var begun logpb.UpkeepRecord
+	if err := proto.Unmarshal(value, &begun); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.upkeeps[begun.GetWave()] = append(r.upkeeps[begun.GetWave()], begun.GetMachine())
+	return nil
+}
+
+// Upkeeps returns the machines whose upkeep has begun for the wave. The same
+// machine may be named more than once.
+func (r *Replica) Upkeeps(wave string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.upkeeps[wave])
+}
+
 func (t *table) shard(id model.JobID) *shard {
 	return &t.shards[xxhash.Sum64String(string(id))%shardCount]
 }
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -277,7 +277,7 @@
 
 // open reports whether the worker takes new work.
 func (e *Engine) open(w *worker, now time.Duration) bool {
-	return w.listed && w.synced && !w.info.Draining && w.info.Life == w.life &&
+	return w.listed && w.synced && !w.closed && !w.info.Draining && w.info.Life == w.life &&
 		!e.domains[w.info.Domain] && len(w.strange) == 0 &&
 		now-w.reported <= e.settings.ContactTime && !w.health.suspected(now)
 }
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -117,6 +117,7 @@
 type worker struct {
 	info     WorkerInfo
 	listed   bool  // the VM list names it
+	closed   bool  // takes no new work before its upkeep
 	life     int64 // as the worker itself says; zero before its first report
 	synced   bool  // it has answered under this tenure
 	reported time.Duration
--- /dev/null
+++ b/internal/core/upkeep/upkeep_test.go
@@ -0,0 +1,69 @@
+package upkeep
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/policy"
+)
+
+const settle = 4 * time.Second
+
+func fleet() (policy.Wave, map[string]Machine) {
+	wave := policy.Wave{Name: "wave/1", Number: 1, Machines: []string{"a", "b", "c", "gone"}, Most: 1, Deadline: 40 * time.Second}
+	machines := map[string]Machine{}
+	for _, id := range []string{"a", "b", "c"} {
+		machines[id] = Machine{ID: id, State: Up, Worker: model.VMID("w" + id)}
+	}
+	return wave, machines
+}
+
+func loads(tasks map[model.VMID]Load) func(model.VMID) Load {
+	return func(id model.VMID) Load { return tasks[id] }
+}
+
+func TestTheEmptiestMachineGoesFirstAndOneAtATime(t *testing.T) {
+	wave, machines := fleet()
+	p := NewProgress(0)
+	load := loads(map[model.VMID]Load{"wa": {Tasks: 3}, "wc": {Tasks: 1}})
+	plan := Decide(wave, machines, load, p, settle, time.Second)
+	assert.Equal(t, []string{"b"}, plan.Order)
+	p.Ordered["b"], p.Begun["b"] = Order{At: time.Second, Worker: "wb"}, true
+
+	plan = Decide(wave, machines, load, p, settle, 2*time.Second)
+	assert.Empty(t, plan.Order, "b may be down though the list does not show it yet")
+	assert.Equal(t, []model.VMID{"wc"}, plan.Close)
+	machines["b"] = Machine{ID: "b", State: InUpkeep}
+	plan = Decide(wave, machines, loads(nil), p, settle, 7*time.Second)
+	assert.Empty(t, plan.Order, "b is down")
+	machines["b"] = Machine{ID: "b", State: Up, Worker: "wb2"}
+	plan = Decide(wave, machines, loads(nil), p, settle, 3*time.Second)
+	assert.Equal(t, []string{"c"}, plan.Order)
+}
+
+func TestAMachineIsNotWaitedForForEver(t *testing.T) {
+	wave, machines := fleet()
+	p := NewProgress(0)
+	busy := loads(map[model.VMID]Load{"wa": {Tasks: 1}, "wb": {Tasks: 1}, "wc": {Tasks: 1}})
+	assert.Empty(t, Decide(wave, machines, busy, p, settle, 0).Order)
+	assert.Len(t, Decide(wave, machines, busy, p, settle, 10*time.Second).Order, 1)
+
+	p = NewProgress(0)
+	sheltered := loads(map[model.VMID]Load{"wa": {Tasks: 1, Sheltered: 1}, "wb": {Tasks: 1, Sheltered: 1}, "wc": {Tasks: 1, Sheltered: 1}})
+	Decide(wave, machines, sheltered, p, settle, 0)
+	assert.Empty(t, Decide(wave, machines, sheltered, p, settle, 30*time.Second).Order, "a sheltered task has to move first")
+}
+
+func TestAWaveIsCompletedWhenAllThatStayHaveBegun(t *testing.T) {
+	wave, machines := fleet()
+	p := NewProgress(0)
+	for _, id := range []string{"a", "b"} {
+		p.Begun[id] = true
+	}
+	assert.False(t, Decide(wave, machines, loads(nil), p, settle, time.Second).Completed)
+	p.Begun["c"] = true
+	assert.True(t, Decide(wave, machines, loads(nil), p, settle, time.Second).Completed)
+}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -7,6 +7,8 @@
 
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/internal/core/policy"
+	"github.com/balsamhitch/balsamhitch/internal/core/upkeep"
 )
 
 // RejectReason tells why a worker did not carry out an order.
@@ -75,3 +77,24 @@
 	// context ends.
 	Follow(ctx context.Context, update func([]dispatch.WorkerInfo))
 }
+
+// MachineKeeper lists the platform's machines and gives orders about them.
+type MachineKeeper interface {
+	List(ctx context.Context) ([]upkeep.Machine, error)
+	// Upkeep begins a machine's upkeep, which ends all that runs on it. Without
+	// an error it has begun, now or before; after an error other than
+	// MachineRefusedError and NotStarted it may have.
+	Upkeep(ctx context.Context, machine string, wave int, holder string, token uint64) error
+	// ReportWave tells operators how far a wave is.
+	ReportWave(ctx context.Context, wave policy.Wave, completed bool) error
+}
+
+// MachineRefusedError is the platform's word that an order about a machine had
+// no effect.
+type MachineRefusedError struct {
+	Reason string
+	Fenced bool // a newer holder has given orders
+}
+
+// Error implements error.
+func (e *MachineRefusedError) Error() string { return "platform refused the order: " + e.Reason }
