--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,7 +53,7 @@
 	fleet  *fleet
 	policy *policy.Holder
 	clock  bubbleClock
-	nodes  []*cellNode
+	nodes  []atomic.Pointer[cellNode] // a restart replaces one while clients use the others
 	jobs   []model.JobID
 	pool   *ants.Pool
 }
@@ -75,8 +76,9 @@
 		Teams:   []dispatch.Team{{Name: "a", Limit: c.fleet.limits["a"]}, {Name: "b"}},
 		KeyTeam: map[string]string{"ka": "a", "kb": "b"},
 	})
-	for i := range nodes {
-		c.nodes = append(c.nodes, c.startNode(fmt.Sprintf("n%d", i)))
+	c.nodes = make([]atomic.Pointer[cellNode], nodes)
+	for i := range c.nodes {
+		c.nodes[i].Store(c.startNode(fmt.Sprintf("n%d", i)))
 	}
 	return c
 }
@@ -129,12 +131,16 @@
 	return n
 }
 
+func (c *cell) node(i int) *cellNode { return c.nodes[i%len(c.nodes)].Load() }
+
 func (c *cell) kill(i int) {
-	c.nodes[i].stop()
-	<-c.nodes[i].done
+	c.node(i).stop()
+	<-c.node(i).done
 }
 
-func (c *cell) restart(i int) { c.nodes[i] = c.startNode(c.nodes[i].name) }
+func (c *cell) restart(i int) {
+	c.nodes[i%len(c.nodes)].Store(c.startNode(c.node(i).name))
+}
 
 func (c *cell) close() {
 	for i := range c.nodes {
@@ -156,7 +162,7 @@
 	}
 	c.fleet.mu.Unlock()
 	for range 20 {
-		n := c.nodes[c.rng.IntN(len(c.nodes))]
+		n := c.node(c.rng.IntN(len(c.nodes)))
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		outcome := n.service.Submit(ctx, id, spec)
 		cancel()
@@ -190,7 +196,8 @@
 		c.t.Error(rule)
 	}
 	for _, id := range c.jobs {
-		for _, n := range c.nodes {
+		for i := range c.nodes {
+			n := c.node(i)
 			state, outcome := n.service.State(id)
 			if !assert.Equal(c.t, intake.Done, outcome, "job %s at %s", id, n.name) {
 				continue
@@ -212,7 +219,7 @@
 		time.Sleep(40 * time.Second)
 		c.check()
 		for _, id := range c.jobs {
-			state, _ := c.nodes[0].service.State(id)
+			state, _ := c.node(0).service.State(id)
 			assert.Equal(t, dispatch.Completed, state, id)
 		}
 		c.close()
@@ -227,7 +234,7 @@
 }
 
 var troubles = []trouble{
-	{"a node is killed", func(c *cell, i int) { c.kill(i % len(c.nodes)) }, func(c *cell, i int) { c.restart(i % len(c.nodes)) }},
+	{"a node is killed", func(c *cell, i int) { c.kill(i) }, func(c *cell, i int) { c.restart(i) }},
 	{"all nodes are killed", func(c *cell, _ int) {
 		for i := range c.nodes {
 			c.kill(i)
@@ -237,8 +244,8 @@
 			c.restart(i)
 		}
 	}},
-	{"a node is cut from the log", func(c *cell, i int) { c.nodes[i%len(c.nodes)].log.setCut(true) },
-		func(c *cell, i int) { c.nodes[i%len(c.nodes)].log.setCut(false) }},
+	{"a node is cut from the log", func(c *cell, i int) { c.node(i).log.setCut(true) },
+		func(c *cell, i int) { c.node(i).log.setCut(false) }},
 	{"the log is down", func(c *cell, _ int) { c.setLog(func(l *memLog) { l.down = true }) },
 		func(c *cell, _ int) { c.setLog(func(l *memLog) { l.down = false }) }},
 	{"the log is slow", func(c *cell, _ int) { c.setLog(func(l *memLog) { l.delay = 300 * time.Millisecond }) },
@@ -322,7 +329,7 @@
 
 func (c *cell) cancel(id model.JobID) {
 	for range 20 {
-		n := c.nodes[c.rng.IntN(len(c.nodes))]
+		n := c.node(c.rng.IntN(len(c.nodes)))
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		outcome := n.service.Cancel(ctx, id, "a")
 		cancel()
