--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -319,13 +320,8 @@
 	return t.Clock.Now()-time.Duration(t.lastAck.Load()) < within
 }
 
+// sleep waits for d. It returns why the tenure ended if it did meanwhile.
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
+	pause.Sleep(ctx, d)
+	return context.Cause(ctx)
 }
--- a/internal/app/logtail/logtail.go
+++ b/internal/app/logtail/logtail.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
@@ -85,7 +86,7 @@
 			t.logContact(lost, err)
 		}
 		if err != nil {
-			sleep(ctx, retryPause)
+			pause.Sleep(ctx, retryPause)
 		}
 	}
 }
@@ -142,17 +143,8 @@
 	next := batch.Records[len(batch.Records)-1].Offset + 1
 	t.Follower.Apply(batch.Records, next >= batch.End)
 	t.offset.Store(next)
-	if pause := t.Pace(); pause > 0 && next >= batch.End {
-		sleep(ctx, pause)
+	if gap := t.Pace(); gap > 0 && next >= batch.End {
+		pause.Sleep(ctx, gap)
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/app/node/peers.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/advice"
+	"github.com/balsamhitch/balsamhitch/internal/app/replica"
+	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+// forward hands a caller's record to the cell's owner.
+func (n *node) forward(ctx context.Context, record port.KeyedRecord) error {
+	if n.owner.Owning() {
+		return n.owner.Append(ctx, []port.KeyedRecord{record})
+	}
+	owner := n.replica.Owner()
+	address, known := n.replica.Members()[owner.Node]
+	if !known || owner.Resigned || owner.Node == n.settings.Node {
+		return port.NotStarted.New("the cell's owner is not known")
+	}
+	reply, err := n.calls.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_KeepRecords{KeepRecords: &peerpb.KeepRecords{
+		Records: []*peerpb.KeepRecords_Record{{Key: record.Key, Value: record.Value}},
+	}}})
+	if err != nil {
+		return err
+	}
+	if refusal := reply.GetAck().GetRefusal(); refusal != nil {
+		if refusal.GetReason() == peerpb.Refusal_NOT_OWNER {
+			return port.NotStarted.New("%s", refusal.GetDetail())
+		}
+		return errs.New("%s", refusal.GetDetail())
+	}
+	return nil
+}
+
+// keep makes another node's records durable.
+func (n *node) keep(ctx context.Context, message *peerpb.KeepRecords) *peerpb.Ack {
+	records := make([]port.KeyedRecord, 0, len(message.GetRecords()))
+	for _, record := range message.GetRecords() {
+		records = append(records, port.KeyedRecord{Key: record.GetKey(), Value: record.GetValue()})
+	}
+	err := n.owner.Append(ctx, records)
+	switch {
+	case err == nil:
+		return &peerpb.Ack{}
+	case port.NotStarted.Has(err):
+		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_NOT_OWNER, Detail: err.Error()}}
+	default:
+		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_UNAVAILABLE, Detail: err.Error()}}
+	}
+}
+
+// relay makes a call to the store through another node. It tries two, chosen
+// at random: some may be turned away as well.
+func (n *node) relay(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	members := n.replica.Members()
+	delete(members, n.settings.Node)
+	addresses := slices.Collect(maps.Values(members))
+	if len(addresses) == 0 {
+		addresses = slices.DeleteFunc(slices.Clone(n.settings.PeerSeeds), func(seed string) bool { return seed == n.settings.PeerAddress })
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	err := port.NotStarted.New("no other node is known")
+	for _, address := range addresses[:min(len(addresses), relayTries)] {
+		var reply *peerpb.Response
+		reply, err = n.calls.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_StoreCall{StoreCall: &peerpb.StoreCall{
+			Method: method, Target: target, Body: body,
+		}}})
+		if port.NotStarted.Has(err) {
+			continue
+		}
+		if err != nil {
+			return 0, nil, err
+		}
+		if answer := reply.GetStoreReply(); answer != nil {
+			return int(answer.GetStatus()), answer.GetBody(), nil
+		}
+		return 0, nil, errs.New("node at %s got no answer from the store", address)
+	}
+	return 0, nil, err
+}
+
+const (
+	// quietPoll keeps the reads short while the owner's sign is overdue, so that
+	// its silence is proved soon.
+	quietPoll   = 100 * time.Millisecond
+	longestPoll = time.Second
+)
+
+// ownerGone asks the owner whether it still serves. A node that refuses
+// connections has no process any more.
+func (n *node) ownerGone(ctx context.Context, owner replica.OwnerSign) bool {
+	address, known := n.replica.Members()[owner.Node]
+	if !known {
+		return false
+	}
+	reply, err := n.calls.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{Epoch: owner.Epoch}}})
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	answer := reply.GetOwnerReply()
+	return answer != nil && !answer.GetServing()
+}
+
+// relayTries is the number of nodes that are asked to pass a call on.
+const relayTries = 2
+
+// passOn makes a call to the store for another node.
+func (n *node) passOn(ctx context.Context, call *peerpb.StoreCall) *peerpb.Response {
+	status, body, err := n.store.Direct(ctx, call.GetMethod(), call.GetTarget(), call.GetBody())
+	if err != nil {
+		return &peerpb.Response{Body: &peerpb.Response_Ack{Ack: &peerpb.Ack{
+			Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_UNAVAILABLE, Detail: err.Error()},
+		}}}
+	}
+	return &peerpb.Response{Body: &peerpb.Response_StoreReply{StoreReply: &peerpb.StoreReply{Status: int32(status), Body: body}}}
+}
+
+// Serve implements port.PeerHandler.
+func (n *node) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+	if query := request.GetOwnerQuery(); query != nil {
+		return &peerpb.Response{Body: &peerpb.Response_OwnerReply{OwnerReply: &peerpb.OwnerReply{Serving: n.owner.Serving(query.GetEpoch())}}}
+	}
+	if call := request.GetStoreCall(); call != nil {
+		return n.passOn(ctx, call)
+	}
+	if message := request.GetKeepRecords(); message != nil {
+		return &peerpb.Response{Body: &peerpb.Response_Ack{Ack: n.keep(ctx, message)}}
+	}
+	if query := request.GetAdvice(); query != nil {
+		if response := advice.Serve(ctx, n.advisor, query); response != nil {
+			return response
+		}
+	}
+	return &peerpb.Response{Body: &peerpb.Response_Ack{Ack: &peerpb.Ack{}}}
+}
--- a/internal/app/tenure/tenure.go
+++ b/internal/app/tenure/tenure.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
 	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
 	"github.com/balsamhitch/balsamhitch/internal/port"
@@ -72,18 +73,18 @@
 	started := c.Clock.Now()
 	for ctx.Err() == nil {
 		if !c.ownerSilent(started) && !c.ownerGone(ctx) || c.Leaving() {
-			pause(ctx, checkInterval)
+			pause.Sleep(ctx, checkInterval)
 			continue
 		}
 		silent := c.Replica.Owner().Epoch
-		pause(ctx, c.Handicap+rand.N(spread))
+		pause.Sleep(ctx, c.Handicap+rand.N(spread))
 		if c.Replica.Owner().Epoch != silent || c.Leaving() || ctx.Err() != nil {
 			continue
 		}
 		epoch, err := c.claim(ctx, silent)
 		if err != nil {
 			c.Logger.WithError(err).Info("claim of the cell failed")
-			pause(ctx, checkInterval+rand.N(spread))
+			pause.Sleep(ctx, checkInterval+rand.N(spread))
 			continue
 		}
 		metrics.GetOrCreateCounter("balsam_owner_claims_total").Inc()
@@ -175,12 +176,3 @@
 	}
 	return page.End, epoch, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/core/dispatch/load_test.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
+)
+
+// burst plays a heavy moment against the engine: workers that run what they are
+// given for a second, a policy that approves seven workers of ten, as the users'
+// does for urgent work.
+type burst struct {
+	t       *testing.T
+	engine  *Engine
+	workers []model.VMID
+	now     time.Duration
+	running map[model.VMID][]StartOrder
+	began   map[model.JobID]time.Duration
+	asked   int
+	ended   map[model.VMID]uint64
+}
+
+func newBurst(t *testing.T, workers int, queues []Queue, teams []Team) *burst {
+	b := &burst{
+		t: t, engine: New(testSettings), now: time.Second,
+		running: map[model.VMID][]StartOrder{}, began: map[model.JobID]time.Duration{}, ended: map[model.VMID]uint64{},
+	}
+	b.engine.SetPolicy(queues, teams, nil)
+	b.engine.SetAskers(9)
+	var list []WorkerInfo
+	for i := range workers {
+		id := model.VMID(fmt.Sprintf("w%02d", i))
+		b.workers = append(b.workers, id)
+		list = append(list, testWorker(id))
+	}
+	b.engine.UpdateWorkers(list)
+	return b
+}
+
+func (b *burst) wall() time.Time { return testStart.Add(b.now - time.Second) }
+
+// step ends what has run for a second, reports, schedules and answers the
+// policy's questions.
+func (b *burst) step() {
+	for _, id := range b.workers {
+		report := WorkerReport{Life: 1, Clock: b.now}
+		for _, order := range b.running[id] {
+			b.ended[id]++
+			report.Finished = append(report.Finished, FinishedTask{Sequence: b.ended[id], Task: order.Task, Run: order.Run, How: EndDone})
+		}
+		b.running[id] = nil
+		b.engine.Report(id, report, b.now)
+	}
+	for range 3 {
+		b.engine.Schedule(b.now, b.wall())
+		for _, order := range b.engine.Take().Starts {
+			b.running[order.Worker] = append(b.running[order.Worker], order)
+			if _, begun := b.began[order.Task.Job]; !begun {
+				b.began[order.Task.Job] = b.now
+			}
+		}
+		for _, query := range b.engine.TakeQueries() {
+			b.asked++
+			var approved []Approval
+			for i, id := range query.Workers {
+				if i%10 < 7 {
+					approved = append(approved, Approval{Worker: id, Ticket: "t"})
+				}
+			}
+			b.engine.Advised(query, approved, 3*time.Second, b.now, b.now, nil)
+		}
+	}
+	b.now += time.Second
+}
+
+var (
+	urgentQueue = Queue{Name: "urgent", Service: "pattern", Priority: 0, MaxAttempts: 2, Slowdown: 3, Target: 2 * time.Second, Advised: true}
+	batchQueue  = Queue{Name: "batch", Service: "pattern", Priority: 2, MaxAttempts: 2, Slowdown: 10, Target: 20 * time.Second, Advised: true}
+)
+
+func (b *burst) submit(id string, team string, queue Queue, step StepSpec) {
+	spec := JobSpec{Team: team, Queue: queue, Payload: "p", Steps: []StepSpec{step}, Submitted: b.wall()}
+	require.True(b.t, b.engine.AddJob(model.JobID(id), spec, b.wall()))
+}
+
+func wideStep(tasks int, milliCPU int64) StepSpec {
+	return StepSpec{Tasks: tasks, Size: model.Resources{MilliCPU: milliCPU, MemoryMiB: 1000}, Estimate: time.Second}
+}
+
+func TestUrgentJobsStartAtOnceBesideABurstOfBatchWork(t *testing.T) {
+	b := newBurst(t, 48, []Queue{urgentQueue, batchQueue}, []Team{{Name: "a"}})
+	for i := range 360 { // ten times what the workers hold
+		b.submit(fmt.Sprintf("batch%d", i), "a", batchQueue, wideStep(10, 4000))
+	}
+	b.step()
+	for i := range 20 {
+		b.submit(fmt.Sprintf("urgent%d", i), "a", urgentQueue, wideStep(2, 2000))
+	}
+	at := b.now
+	b.step()
+	for i := range 20 {
+		began, ok := b.began[model.JobID(fmt.Sprintf("urgent%d", i))]
+		if assert.True(t, ok, "urgent%d has not begun", i) {
+			assert.Equal(t, at, began)
+		}
+	}
+}
+
+func TestATeamAtItsLimitKeepsNobodyFromThePolicy(t *testing.T) {
+	teams := []Team{{Name: "hot", Limit: model.Resources{MilliCPU: 8000}}, {Name: "calm"}}
+	b := newBurst(t, 8, []Queue{urgentQueue}, teams)
+	for i := range 200 { // far beyond the team's limit, and older
+		b.submit(fmt.Sprintf("hot%03d", i), "hot", urgentQueue, wideStep(2, 2000))
+	}
+	b.submit("calm", "calm", urgentQueue, wideStep(2, 2000))
+	b.step()
+	assert.Contains(t, b.began, model.JobID("calm"))
+	assert.Less(t, b.asked, 20, "steps that their team's limit holds back ask nothing")
+	running := 0
+	for _, orders := range b.running {
+		for _, order := range orders {
+			if order.Task.Job != "calm" {
+				running++
+			}
+		}
+	}
+	assert.Equal(t, 4, running, "the limit is used up and not exceeded")
+}
+
+func TestHopelessJobsGiveWayToThoseThatCanBeOnTime(t *testing.T) {
+	b := newBurst(t, 1, []Queue{urgentQueue}, []Team{{Name: "a"}})
+	for i := range 40 { // the worker holds eight tasks a second
+		b.submit(fmt.Sprintf("old%02d", i), "a", urgentQueue, wideStep(8, 4000))
+	}
+	b.now += time.Minute // nobody waits for these any more
+	b.submit("fresh", "a", urgentQueue, wideStep(8, 4000))
+	at := b.now
+	b.step()
+	assert.Equal(t, at, b.began["fresh"])
+}
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -142,8 +142,6 @@
 // Settings are the figures of the platform that decisions depend on.
 type Settings struct {
 	StopTime time.Duration // the longest that a stop takes
-	// Early is how long before its due time an occurrence may start.
-	Early time.Duration
 	// ContactTime is how recent a worker's last report must be for a start.
 	ContactTime time.Duration
 	// TicketMargin is how long a ticket must still be valid to be used.
