Say things once in the cell's owner and engine

Cause: reading the change again found a progress clock that nothing read, the end of a job and the completion of a gang's waiting members written twice, the token and the longest lease worked out twice, a nonce that was never compared, a redundant test of a worker's first life, and the whole member map copied each round for its size. Ruled out: merging health.Fleet with the engine's short record of a worker: the two decide differently, and that would change behaviour. No behaviour changes, no test was touched.

--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -53,7 +53,7 @@
 	}
 	stale := t.stale
 	t.stale = nil
-	t.engine.SetAskers(len(t.Replica.Members()))
+	t.engine.SetAskers(t.Replica.MemberCount())
 	t.mu.Unlock()
 	wishes := t.takeWishes()
 	leaving := t.owner.leaving.Load()
--- a/internal/app/dispatcher/contact.go
+++ b/internal/app/dispatcher/contact.go
@@ -62,9 +62,8 @@
 }
 
 func (c *contact) token(epoch uint64) uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return epoch*tokensPerEpoch + min(c.renewals, tokensPerEpoch-1)
+	token, _ := c.tokenFor(epoch, 0)
+	return token
 }
 
 // tokenFor returns the token for orders to the given life of the worker, or
@@ -83,10 +82,16 @@
 	if c.heardAt == 0 || now-c.heardAt > silentAfter {
 		return 0
 	}
-	c.boundAt = max(c.boundAt, now+length+time.Duration(float64(length)*clockError)+leaseSlack)
+	c.boundAt = max(c.boundAt, now+longest(length))
 	return c.clock + (now - c.heardAt) + length
 }
 
+// longest returns the time of our clock in which a lease has run out for certain
+// on a worker's clock.
+func longest(lease time.Duration) time.Duration {
+	return lease + time.Duration(float64(lease)*clockError) + leaseSlack
+}
+
 func (c *contact) heard(now, clock time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -131,7 +136,7 @@
 		return
 	}
 	now := t.Clock.Now()
-	c := &contact{info: info, boundAt: now + renewLimit + t.Lease + time.Duration(float64(t.Lease)*clockError) + leaseSlack}
+	c := &contact{info: info, boundAt: now + renewLimit + longest(t.Lease)}
 	t.contacts[info.ID] = c
 	group.Go(func() { t.lookLoop(ctx, c) })
 }
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -6,7 +6,7 @@
 	"context"
 	"os"
 	"runtime/debug"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -77,11 +77,9 @@
 	operator *logtail.Tail
 	owner    *dispatcher.Dispatcher
 	ingress  *platform.Ingress
-	peers    *peer.Server
 	calls    *peer.Client
 
-	leaving   bool
-	leavingMu sync.Mutex
+	leaving atomic.Bool
 }
 
 func build(settings platform.Settings, logger logrus.FieldLogger) (*node, error) {
@@ -146,18 +144,16 @@
 }
 
 func (n *node) run(ctx context.Context, reload <-chan os.Signal) error {
-	server, err := peer.Listen(n.settings.PeerAddress, n, peer.Options{Handlers: peerHandlers, Logger: n.logger})
-	if err != nil {
+	if _, err := peer.Listen(n.settings.PeerAddress, n, peer.Options{Handlers: peerHandlers, Logger: n.logger}); err != nil {
 		return err
 	}
-	n.peers = server
 	n.logger.WithField("settings", n.settings).Info("node starts")
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	candidate := &tenure.Candidate{
 		Node: n.settings.Node, Address: n.settings.PeerAddress, Handicap: n.handicap(),
 		Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cell, Owner: n.owner,
-		Logger: n.logger.WithField("part", "tenure"), Leaving: n.isLeaving, Gone: n.ownerGone,
+		Logger: n.logger.WithField("part", "tenure"), Leaving: n.leaving.Load, Gone: n.ownerGone,
 	}
 	n.cell.Poll = func() time.Duration {
 		if candidate.Quiet() {
@@ -194,19 +190,11 @@
 	return 0
 }
 
-func (n *node) isLeaving() bool {
-	n.leavingMu.Lock()
-	defer n.leavingMu.Unlock()
-	return n.leaving
-}
-
 // leave hands the cell over and goes on serving open connections until callers
 // have had the time to find other nodes.
 func (n *node) leave() {
 	began := n.clock.Now()
-	n.leavingMu.Lock()
-	n.leaving = true
-	n.leavingMu.Unlock()
+	n.leaving.Store(true)
 	n.owner.Resign()
 	n.ingress.Leave()
 	n.logger.Info("node leaves")
@@ -220,12 +208,17 @@
 	n.logger.Info("node stops")
 }
 
+func (n *node) announced() bool {
+	address, _ := n.replica.Member(n.settings.Node)
+	return address == n.settings.PeerAddress
+}
+
 // announce keeps the node's peer address on the cell's log.
 func (n *node) announce(ctx context.Context) {
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
-		if n.cell.Fresh() != 0 && n.replica.Members()[n.settings.Node] != n.settings.PeerAddress && !n.isLeaving() {
+		if n.cell.Fresh() != 0 && !n.announced() && !n.leaving.Load() {
 			record, err := replica.MemberRecord(n.settings.Node, n.settings.PeerAddress)
 			if err == nil {
 				_, err = n.store.Append(ctx, replica.CellTopic, []port.KeyedRecord{record}, port.AppendOptions{})
--- a/internal/app/node/peers.go
+++ b/internal/app/node/peers.go
@@ -23,7 +23,7 @@
 		return n.owner.Append(ctx, []port.KeyedRecord{record})
 	}
 	owner := n.replica.Owner()
-	address, known := n.replica.Members()[owner.Node]
+	address, known := n.replica.Member(owner.Node)
 	if !known || owner.Resigned || owner.Node == n.settings.Node {
 		return port.NotStarted.New("the cell's owner is not known")
 	}
@@ -99,7 +99,7 @@
 // ownerGone asks the owner whether it still serves. A node that refuses
 // connections has no process any more.
 func (n *node) ownerGone(ctx context.Context, owner replica.OwnerSign) bool {
-	address, known := n.replica.Members()[owner.Node]
+	address, known := n.replica.Member(owner.Node)
 	if !known {
 		return false
 	}
--- a/internal/app/replica/replica.go
+++ b/internal/app/replica/replica.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -239,15 +240,26 @@
 	return r.owner
 }
 
+// MemberCount returns the number of nodes whose peer address is known.
+func (r *Replica) MemberCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.members)
+}
+
+// Member returns the peer address of a node.
+func (r *Replica) Member(node string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	address, known := r.members[node]
+	return address, known
+}
+
 // Members returns the peer addresses of the nodes by name.
 func (r *Replica) Members() map[string]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	members := make(map[string]string, len(r.members))
-	for node, address := range r.members {
-		members[node] = address
-	}
-	return members
+	return maps.Clone(r.members)
 }
 
 // Listen hands every job to visit and from then on tells the listener what
--- a/internal/app/tenure/tenure.go
+++ b/internal/app/tenure/tenure.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
@@ -131,8 +130,7 @@
 // claim appends a claim after the newest one. It returns the epoch. silent is
 // the epoch of the owner that was found silent.
 func (c *Candidate) claim(ctx context.Context, silent uint64) (uint64, error) {
-	nonce := ulid.Make().String()
-	value, err := proto.Marshal(&logpb.OwnerClaim{Node: c.Node, Address: c.Address, Nonce: nonce})
+	value, err := proto.Marshal(&logpb.OwnerClaim{Node: c.Node, Address: c.Address})
 	if err != nil {
 		return 0, errs.Wrap(err)
 	}
--- a/internal/core/dispatch/jobs.go
+++ b/internal/core/dispatch/jobs.go
@@ -96,17 +96,10 @@
 		if s.gang == nil || s.waiting == len(s.tasks) {
 			continue
 		}
-		for _, t := range s.tasks {
-			if t.phase != waiting {
-				continue
-			}
-			if s.gang.done {
-				t.phase = done
-				s.left--
-				s.waiting--
-			} else {
-				s.gang.breaking = true
-			}
+		if s.gang.done {
+			s.finishWaiting()
+		} else if s.waiting > 0 {
+			s.gang.breaking = true
 		}
 	}
 }
@@ -203,11 +196,15 @@
 }
 
 func (e *Engine) end(j *job, state JobState, detail string) {
+	e.setEnd(j, state, detail)
+	e.stopAll(j)
+	e.settle(j)
+}
+
+func (e *Engine) setEnd(j *job, state JobState, detail string) {
 	j.state = state
 	e.batch.Ended = append(e.batch.Ended, JobEnd{Job: j.id, Team: j.spec.Team, State: state})
 	e.jobEvent("job_"+string(state), j, detail)
-	e.stopAll(j)
-	e.settle(j)
 }
 
 // stopAll stops everything that may run for the job.
@@ -240,9 +237,7 @@
 		e.completeOccurrences(j)
 	}
 	if !j.state.Ended() && len(j.completed) == j.spec.occurrences() && !j.spec.longRunning() {
-		j.state = Completed
-		e.batch.Ended = append(e.batch.Ended, JobEnd{Job: j.id, Team: j.spec.Team, State: Completed})
-		e.jobEvent("job_completed", j, "")
+		e.setEnd(j, Completed, "")
 	}
 	if j.state.Ended() && !j.forgotten && !j.active() {
 		j.forgotten = true
--- a/internal/core/dispatch/reports.go
+++ b/internal/core/dispatch/reports.go
@@ -35,7 +35,7 @@
 	if w.seen > w.acked {
 		e.batch.Acks = append(e.batch.Acks, Ack{Worker: id, Life: w.life, Sequence: w.seen})
 	}
-	listed := e.takeRunning(w, report, now)
+	listed := e.takeRunning(w, report)
 	e.pace(w, report.Running, now)
 	if !report.Partial {
 		e.takeMissing(w, report.Clock, listed)
@@ -46,7 +46,6 @@
 // earlier one has ended. A start that was under way may have reached the new
 // one, which then lists the run.
 func (e *Engine) newLife(w *worker, report WorkerReport) {
-	first := w.life == 0
 	w.life, w.acked, w.seen = report.Life, 0, 0
 	w.info.Life = report.Life
 	clear(w.strange)
@@ -59,16 +58,13 @@
 		listed[row.Task] = max(listed[row.Task], row.Run)
 	}
 	for _, t := range w.sortedTasks() {
-		if first && t.life == report.Life {
+		if t.life == report.Life {
 			continue
 		}
 		if run, ok := listed[t.name()]; ok && run == t.run {
 			t.life = report.Life
 			continue
 		}
-		if t.life == report.Life {
-			continue
-		}
 		e.ended(t, EndLost, "")
 		e.finishRound(t)
 	}
@@ -108,7 +104,7 @@
 
 // takeRunning notes what the worker lists as running and stops what no job
 // accounts for.
-func (e *Engine) takeRunning(w *worker, report WorkerReport, now time.Duration) map[TaskName]bool {
+func (e *Engine) takeRunning(w *worker, report WorkerReport) map[TaskName]bool {
 	listed := make(map[TaskName]bool, len(report.Running))
 	for _, row := range report.Running {
 		listed[row.Task] = true
@@ -127,7 +123,10 @@
 		if t.phase == running {
 			t.seenAt = max(t.seenAt, report.Clock)
 		}
-		e.progress(t, row, now)
+		t.percent = row.Percent
+		if row.Checkpoint != "" {
+			t.checkpoint = row.Checkpoint
+		}
 	}
 	for name := range w.strange {
 		if !listed[name] {
@@ -137,19 +136,6 @@
 	return listed
 }
 
-func (e *Engine) progress(t *task, row RunningTask, now time.Duration) {
-	if t.began == 0 {
-		t.began, t.movedAt = now, now
-	}
-	if row.Percent != t.percent || row.Checkpoint != t.checkpoint {
-		t.movedAt = now
-	}
-	t.percent = row.Percent
-	if row.Checkpoint != "" {
-		t.checkpoint = row.Checkpoint
-	}
-}
-
 // takeMissing ends the runs that the worker knew at an earlier time and
 // neither lists as running nor as ended.
 func (e *Engine) takeMissing(w *worker, clock time.Duration, listed map[TaskName]bool) {
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -18,7 +18,7 @@
 // assign counts the task on the worker and for its team.
 func (e *Engine) assign(t *task, w *worker, life int64) {
 	t.worker, t.life = w, life
-	t.seenAt, t.adopted, t.percent, t.movedAt, t.began = 0, false, 0, 0, 0
+	t.seenAt, t.adopted, t.percent = 0, false, 0
 	t.paced = fullPace
 	w.used = w.used.Add(t.step.spec.footprint())
 	w.tasks[t.name()] = t
@@ -60,7 +60,7 @@
 			continue
 		}
 		w.listed = false
-		if len(w.tasks) == 0 && len(w.strange) == 0 {
+		if !w.occupied() {
 			delete(e.workers, id)
 		}
 	}
@@ -162,7 +162,7 @@
 // HasTasks reports whether runs may be at work on the worker.
 func (e *Engine) HasTasks(id model.VMID) bool {
 	w, ok := e.workers[id]
-	return ok && (len(w.tasks) > 0 || len(w.strange) > 0)
+	return ok && w.occupied()
 }
 
 // ended takes the end of the task's current run.
@@ -234,13 +234,7 @@
 
 func (e *Engine) finishGang(s *step) {
 	if s.gang.done {
-		for _, t := range s.tasks {
-			if t.phase == waiting {
-				t.phase = done
-				s.left--
-				s.waiting--
-			}
-		}
+		s.finishWaiting()
 		return
 	}
 	if !s.gang.breaking {
@@ -254,6 +248,18 @@
 	}
 }
 
+// finishWaiting counts the waiting members of a gang as done: one end stands for
+// all of them.
+func (s *step) finishWaiting() {
+	for _, t := range s.tasks {
+		if t.phase == waiting {
+			t.phase = done
+			s.left--
+			s.waiting--
+		}
+	}
+}
+
 // Listed reports whether the VM list names the worker.
 func (e *Engine) Listed(id model.VMID) bool {
 	w, ok := e.workers[id]
@@ -273,7 +279,7 @@
 func (e *Engine) WorkersWithTasks() []model.VMID {
 	var ids []model.VMID
 	for id, w := range e.workers {
-		if len(w.tasks) > 0 || len(w.strange) > 0 {
+		if w.occupied() {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -87,8 +87,6 @@
 	paced      int           // percent that the worker was told; fullPace at the start
 	adopted    bool          // placed by an earlier owner; no order is under way
 	percent    int
-	movedAt    time.Duration // when percent last changed
-	began      time.Duration // when the run was first listed
 }
 
 func (t *task) name() TaskName {
@@ -134,6 +132,9 @@
 
 func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.used) }
 
+// occupied reports whether runs may be at work on the worker.
+func (w *worker) occupied() bool { return len(w.tasks) > 0 || len(w.strange) > 0 }
+
 type team struct {
 	policy Team
 	used   model.Resources
