Leave time for a direct call when a relay does not answer

Cause: after an outage of the store each node sends its calls through another node for a second. A relay that hung at a dead node (its owner, killed as the store came back) used up the whole time of the call, so that the direct attempt was sent with 0 ms left; the failure renewed the detour.

--- a/internal/adapter/peer/options.go
+++ b/internal/adapter/peer/options.go
@@ -29,7 +29,7 @@
 	defaultDialTimeout = time.Second
 	// defaultHandlerTimeout bounds calls whose sender states no deadline.
 	defaultHandlerTimeout = 30 * time.Second
-	keepAliveInterval     = 3 * time.Second
+	keepAliveInterval     = time.Second
 	writeTimeout          = 2 * time.Second
 	bufferSize            = 16 << 10
 )
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -49,6 +49,9 @@
 	// memoryShare is the part of the VM's memory that the garbage collector
 	// keeps the heap within.
 	memoryShare = 0.6
+	// peerDialTime bounds the wait for a node that is gone; nodes of a cell answer
+	// within milliseconds.
+	peerDialTime = 200 * time.Millisecond
 	// peerHandlers bounds the calls of other nodes served at once.
 	peerHandlers = 64
 )
@@ -102,7 +105,7 @@
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
-	n.calls = peer.New(peer.Options{Streams: 1, Logger: logger})
+	n.calls = peer.New(peer.Options{Streams: 1, DialTimeout: peerDialTime, Logger: logger})
 	n.owner = dispatcher.New(dispatcher.Options{
 		Node: settings.Node, Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cell, Policy: n.policy,
 		Workers:   platform.NewWorkers(workerConnections),
