Keep callers' records for the next owner and append in groups without one

Cause: without an owner every node appended each caller's record by itself. A slow store carries out one append per partition in 156 ms (2 ms times 78), so that 40 callers a second filled the cell's topic beyond the 2 s that may wait; the next owner's first sign was refused with "try later" for seconds.

Ruled out: the claim itself (its topic is another one and was quick) and reading the log (fresh within 1.3 s).

Change: a record waits up to 1.5 s for an owner to take it; after that, and while the owner's appends fail, each node appends in groups, one at a time, with pauses that leave half of the log's time to a new owner. A record that the replica has read counts as durable. Peers tell "no owner" from "the log takes nothing".

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -42,6 +43,7 @@
 	replica *replica.Replica
 	owner   *dispatcher.Dispatcher
 	service *intake.Service
+	leaving atomic.Bool
 	stop    context.CancelFunc
 	done    chan struct{}
 }
@@ -110,15 +112,13 @@
 		}
 		return 100 * time.Millisecond
 	}
-	n.service = &intake.Service{
+	n.service = intake.New(intake.Options{
 		Policy: holder, Log: n.log, Replica: n.replica, Tail: tail, Clock: c.clock, Logger: logger,
-		Forward: func(ctx context.Context, record port.KeyedRecord) error {
-			return n.owner.Append(ctx, []port.KeyedRecord{record})
-		},
-	}
+		Forward: func(ctx context.Context, record port.KeyedRecord) error { return c.forward(ctx, n, record) },
+	})
 	candidate := &tenure.Candidate{
 		Node: name, Log: n.log, Clock: c.clock, Replica: n.replica, Tail: tail, Owner: n.owner, Logger: logger,
-		Leaving: func() bool { return false },
+		Leaving: n.leaving.Load,
 		Gone:    func(context.Context, replica.OwnerSign) bool { return false },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -131,6 +131,36 @@
 	return n
 }
 
+// forward hands a record to the node that the sender takes for the owner.
+func (c *cell) forward(ctx context.Context, sender *cellNode, record port.KeyedRecord) error {
+	owner := sender.replica.Owner()
+	for i := range c.nodes {
+		if n := c.node(i); n.name == owner.Node && !owner.Resigned || n == sender && n.owner.Owning() {
+			return n.owner.Append(ctx, []port.KeyedRecord{record})
+		}
+	}
+	return port.NotStarted.Wrap(port.NoOwner.New("no owner is known"))
+}
+
+// owner returns the index of the node that owns the cell, or -1.
+func (c *cell) owner() int {
+	for i := range c.nodes {
+		if c.node(i).owner.Owning() {
+			return i
+		}
+	}
+	return -1
+}
+
+// leave makes the node hand over and stop, as at a planned stop.
+func (c *cell) leave(i int) {
+	n := c.node(i)
+	n.leaving.Store(true)
+	n.owner.Resign()
+	time.Sleep(time.Second)
+	c.kill(i)
+}
+
 func (c *cell) node(i int) *cellNode { return c.nodes[i%len(c.nodes)].Load() }
 
 func (c *cell) kill(i int) {
@@ -152,21 +182,11 @@
 
 // submit hands a job in at a random node, as a client that tries again.
 func (c *cell) submit(number int, spec dispatch.JobSpec, work time.Duration) {
-	id := model.JobID(fmt.Sprintf("%016x", number))
 	spec.Queue = cellQueue
 	spec.Payload = "p"
-	c.fleet.mu.Lock()
-	c.fleet.jobs[id] = &submitted{
-		spec: spec, work: work,
-		done: map[dispatch.TaskName]bool{}, ended: map[dispatch.TaskName]bool{}, failures: map[dispatch.TaskName]int{},
-	}
-	c.fleet.mu.Unlock()
+	id := c.expect(number, spec, work)
 	for range 20 {
-		n := c.node(c.rng.IntN(len(c.nodes)))
-		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		outcome := n.service.Submit(ctx, id, spec)
-		cancel()
-		if outcome == intake.Done {
+		if c.submitAt(c.rng.IntN(len(c.nodes)), id, spec) {
 			c.jobs = append(c.jobs, id)
 			return
 		}
@@ -174,6 +194,35 @@
 	}
 }
 
+// submitOnce hands a job in at one node that takes new callers, as a client
+// that does not try again. It reports whether the job was accepted in time.
+func (c *cell) submitOnce(number int, spec dispatch.JobSpec, work time.Duration) bool {
+	id := c.expect(number, spec, work)
+	for i := number; ; i++ {
+		if !c.node(i).leaving.Load() {
+			return c.submitAt(i, id, spec)
+		}
+	}
+}
+
+func (c *cell) submitAt(i int, id model.JobID, spec dispatch.JobSpec) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return c.node(i).service.Submit(ctx, id, spec) == intake.Done
+}
+
+// expect tells the workers of a job that a client hands in.
+func (c *cell) expect(number int, spec dispatch.JobSpec, work time.Duration) model.JobID {
+	id := model.JobID(fmt.Sprintf("%016x", number))
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	c.fleet.jobs[id] = &submitted{
+		spec: spec, work: work,
+		done: map[dispatch.TaskName]bool{}, ended: map[dispatch.TaskName]bool{}, failures: map[dispatch.TaskName]int{},
+	}
+	return id
+}
+
 func (c *cell) randomSpec() (dispatch.JobSpec, time.Duration) {
 	spec := dispatch.JobSpec{Team: []string{"a", "b"}[c.rng.IntN(2)]}
 	for i := range 1 + c.rng.IntN(3) {
@@ -226,6 +275,52 @@
 	})
 }
 
+func TestACellWithASlowLogSoonHasANewOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 7, 24)
+		time.Sleep(3 * time.Second)
+		c.setLog(func(l *memLog) { l.delay, l.busy = 300*time.Millisecond, 150*time.Millisecond })
+		time.Sleep(2 * time.Second)
+		former := c.owner()
+		require.GreaterOrEqual(t, former, 0)
+		var clients sync.WaitGroup
+		accepted := make([]atomic.Bool, 240)
+		load := func(from, to int) { // 30 jobs a second
+			for i := from; i < to; i++ {
+				clients.Go(func() {
+					spec := dispatch.JobSpec{Team: "b", Queue: cellQueue, Payload: "p", Steps: []dispatch.StepSpec{{
+						Tasks: 1, Estimate: time.Second, Size: model.Resources{MilliCPU: 500, MemoryMiB: 100},
+					}}}
+					accepted[i].Store(c.submitOnce(i, spec, time.Second))
+				})
+				time.Sleep(33 * time.Millisecond)
+			}
+		}
+		clients.Go(func() { c.leave(former) })
+		load(0, 120)
+		assert.GreaterOrEqual(t, c.owner(), 0, "the cell has an owner 4 s after the former one left")
+		load(120, 240)
+		clients.Wait()
+		served, late := 0, 0
+		for i := range accepted {
+			if accepted[i].Load() {
+				served++
+				c.jobs = append(c.jobs, model.JobID(fmt.Sprintf("%016x", i)))
+			} else if i >= 120 {
+				late++
+			}
+		}
+		assert.Zero(t, late, "callers that the new owner did not serve")
+		t.Logf("%d of %d callers were served at their first try", served, len(accepted))
+		c.setLog(func(l *memLog) { l.delay, l.busy = 4*time.Millisecond, 0 })
+		time.Sleep(20 * time.Second)
+		c.restart(former)
+		time.Sleep(5 * time.Second)
+		c.check()
+		c.close()
+	})
+}
+
 // trouble is one fault of a random day.
 type trouble struct {
 	name  string
--- a/internal/app/celltest/log_test.go
+++ b/internal/app/celltest/log_test.go
@@ -21,6 +21,7 @@
 	changed   chan struct{}
 	rng       *rand.Rand
 	delay     time.Duration // of an answer
+	busy      time.Duration // that one append keeps its topic from the next
 	lostShare float64       // of the appends that are carried out without an answer
 	lateShare float64       // of the appends that are carried out seconds later
 	down      bool
@@ -31,6 +32,7 @@
 	first     uint64 // oldest offset kept
 	newest    map[string]port.KeyedRecord
 	producers map[string]*producerState
+	freeAt    time.Time // when the appends that wait will have been carried out
 }
 
 type producerState struct {
@@ -70,6 +72,9 @@
 }
 
 func (l *memLog) Append(ctx context.Context, name string, records []port.KeyedRecord, options port.AppendOptions) (uint64, error) {
+	if err := l.queue(name); err != nil {
+		return 0, err
+	}
 	if err := l.wait(ctx); err != nil {
 		return 0, err
 	}
@@ -90,6 +95,28 @@
 	return offset, err
 }
 
+// longestQueue is the time that appends to a topic may wait for each other.
+const longestQueue = 2 * time.Second
+
+// queue waits until the earlier appends to the topic have been carried out.
+func (l *memLog) queue(name string) error {
+	l.mu.Lock()
+	t := l.topic(name)
+	now := time.Now()
+	if t.freeAt.Before(now) {
+		t.freeAt = now
+	}
+	if t.freeAt.Sub(now) > longestQueue {
+		l.mu.Unlock()
+		return port.Refused.New("too many appends wait")
+	}
+	t.freeAt = t.freeAt.Add(l.busy)
+	turn := t.freeAt
+	l.mu.Unlock()
+	time.Sleep(time.Until(turn))
+	return nil
+}
+
 func (l *memLog) apply(name string, records []port.KeyedRecord, options port.AppendOptions) (uint64, error) {
 	t := l.topic(name)
 	end := t.first + uint64(len(t.records))
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -113,14 +113,14 @@
 func (d *Dispatcher) Append(ctx context.Context, records []port.KeyedRecord) error {
 	t := d.current.Load()
 	if t == nil {
-		return port.NotStarted.New("this node does not own the cell")
+		return notOwner()
 	}
 	w := &wish{records: records, done: make(chan error, 1)}
 	if t.stuck.Load() {
 		return port.NotStarted.New("the log takes no append from this node")
 	}
 	if !t.addWish(w) {
-		return port.NotStarted.New("this node no longer owns the cell")
+		return notOwner()
 	}
 	t.wake()
 	select {
@@ -131,6 +131,10 @@
 	}
 }
 
+func notOwner() error {
+	return port.NotStarted.Wrap(port.NoOwner.New("this node does not own the cell"))
+}
+
 // wish is a set of callers' records for the next batch.
 type wish struct {
 	records []port.KeyedRecord
@@ -161,7 +165,7 @@
 	defer t.wishMu.Unlock()
 	t.over = true
 	for _, w := range t.wishes {
-		w.done <- port.NotStarted.New("this node no longer owns the cell")
+		w.done <- notOwner()
 	}
 	t.wishes = nil
 }
--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -41,19 +42,22 @@
 const (
 	// forwardTime bounds the way through the owner: a few batches of a slow log.
 	forwardTime = 1200 * time.Millisecond
-	appendTime  = 700 * time.Millisecond // of one attempt
-	appendPause = 40 * time.Millisecond
+	// ownerWait is how long a record is kept for an owner to come; nothing can
+	// start without one, and a takeover is over within it unless the log fails.
+	ownerWait  = 1500 * time.Millisecond
+	ownerCheck = 25 * time.Millisecond // between two looks for an owner
+	retryPause = 40 * time.Millisecond
 	// giveUpAfter is how long the log is tried for a call that may have had an
 	// effect; one that certainly had none is refused sooner, so that the caller
 	// can come back within its own deadline.
-	giveUpAfter = 1800 * time.Millisecond
+	giveUpAfter = 2200 * time.Millisecond
 	refuseAfter = 500 * time.Millisecond
 	// staleAfter is how old the replica may be for "no such job".
 	staleAfter = 1500 * time.Millisecond
 )
 
-// Service serves the callers of one node. It is safe for concurrent use.
-type Service struct {
+// Options are what a Service needs. All fields are required.
+type Options struct {
 	Policy  *policy.Holder
 	Log     port.KeyedLog
 	Replica *replica.Replica
@@ -61,10 +65,22 @@
 	Clock   port.Clock
 	Logger  logrus.FieldLogger
 	// Forward hands a record to the cell's owner, which makes it durable with
-	// its next batch. An error of type NotStarted proves that it will not.
+	// its next batch. An error of type NotStarted proves that it will not; one of
+	// type NoOwner tells besides that another owner is to be expected.
 	Forward func(ctx context.Context, record port.KeyedRecord) error
 }
 
+// Service serves the callers of one node. It is safe for concurrent use.
+type Service struct {
+	Options
+	direct writer
+}
+
+// New returns a Service.
+func New(options Options) *Service {
+	return &Service{Options: options, direct: writer{log: options.Log, clock: options.Clock, tail: options.Tail}}
+}
+
 // Call is a caller's call to a route.
 type Call struct {
 	Host string
@@ -106,7 +122,10 @@
 		return Invalid
 	}
 	began := s.Clock.Now()
-	outcome := s.append(ctx, id, record)
+	outcome := s.append(ctx, id, record, func() bool {
+		_, known := s.Replica.State(id)
+		return known
+	})
 	s.decided("submission", id, outcome, spec.Team)
 	metrics.GetOrCreateHistogram(fmt.Sprintf("balsam_submission_seconds{team=%q,outcome=%q}", spec.Team, outcome)).
 		Update((s.Clock.Now() - began).Seconds())
@@ -124,39 +143,37 @@
 		s.Logger.WithError(err).WithField("job", id).Warn("cancellation can't be encoded")
 		return Invalid
 	}
-	outcome := s.append(ctx, id, record)
+	outcome := s.append(ctx, id, record, func() bool {
+		state, known := s.Replica.State(id)
+		return known && state.Ended()
+	})
 	s.decided("cancellation", id, outcome, team)
 	return outcome
 }
 
-// append hands the record to the owner, and tries the log itself if that fails,
-// until one answers or the time is up. The record is the same each time, so
-// that a late effect of an earlier try does no harm.
-func (s *Service) append(ctx context.Context, id model.JobID, record port.KeyedRecord) Outcome {
+// append hands the record to the owner, waits for one if there is none, and
+// tries the log itself where that fails, until one answers or the time is up.
+// The record is the same each time, so that a late effect of an earlier try does
+// no harm. durable reports whether the replica has read such an effect.
+func (s *Service) append(ctx context.Context, id model.JobID, record port.KeyedRecord, durable func() bool) Outcome {
 	began := s.Clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, forwardTime)
-	err := s.Forward(callCtx, record)
-	cancel()
-	if err == nil {
-		return Done
-	}
-	unknown := !port.NotStarted.Has(err)
+	unknown := false
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, appendTime)
-		_, err = s.Log.Append(callCtx, replica.CellTopic, []port.KeyedRecord{record}, port.AppendOptions{})
-		cancel()
-		if err == nil {
-			return Done
+		doubt, err := s.forward(ctx, record, began)
+		unknown = unknown || doubt
+		if err != nil {
+			err = s.direct.append(ctx, s.Replica.MemberCount(), record)
+			unknown = unknown || err != nil && !port.Refused.Has(err) && !port.NotStarted.Has(err)
 		}
-		if !port.Refused.Has(err) && !port.NotStarted.Has(err) {
-			unknown = true
+		if err == nil || durable() {
+			return Done
 		}
 		tried := s.Clock.Now() - began
 		if ctx.Err() != nil || tried > giveUpAfter || !unknown && tried > refuseAfter {
 			s.Logger.WithError(err).WithField("job", id).Debug("log did not take the record")
 			break
 		}
-		time.Sleep(appendPause)
+		pause.Sleep(ctx, retryPause)
 	}
 	if unknown {
 		return Unknown
@@ -164,6 +181,24 @@
 	return Unavailable
 }
 
+// forward hands the record to the owner, or to the next one. After an error,
+// unknown tells that the record may become durable all the same.
+func (s *Service) forward(ctx context.Context, record port.KeyedRecord, began time.Duration) (unknown bool, err error) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, forwardTime)
+		err = s.Forward(callCtx, record)
+		cancel()
+		if err == nil {
+			return false, nil
+		}
+		unknown = unknown || !port.NotStarted.Has(err)
+		if !port.NoOwner.Has(err) || ctx.Err() != nil || s.Clock.Now()-began > ownerWait {
+			return unknown, err
+		}
+		pause.Sleep(ctx, ownerCheck)
+	}
+}
+
 func (s *Service) decided(what string, id model.JobID, outcome Outcome, team string) {
 	fields := logrus.Fields{"job": id, "team": team, "policy_version": s.Policy.Get().Version, "owner": s.Replica.Owner().Node, "replica_age_ms": (s.Clock.Now() - s.Tail.Fresh()).Milliseconds()}
 	switch outcome {
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -120,10 +120,10 @@
 		Lease: min(settings.Bounds.LongestLease(), longestLease), EndsKept: settings.Bounds.JobEndKept() + endsMargin,
 		UpkeepTime: settings.Bounds.Upkeep(),
 	})
-	service := &intake.Service{
+	service := intake.New(intake.Options{
 		Policy: n.policy, Log: n.store, Replica: n.replica, Tail: n.cell, Clock: n.clock,
 		Logger: logger.WithField("part", "intake"), Forward: n.forward,
-	}
+	})
 	n.ingress = platform.NewIngress(service, settings.CallersAddress, settings.ReadinessAddress)
 	return n, nil
 }
--- a/internal/app/node/peers.go
+++ b/internal/app/node/peers.go
@@ -25,18 +25,25 @@
 	owner := n.replica.Owner()
 	address, known := n.replica.Member(owner.Node)
 	if !known || owner.Resigned || owner.Node == n.settings.Node {
-		return port.NotStarted.New("the cell's owner is not known")
+		return port.NotStarted.Wrap(port.NoOwner.New("the cell's owner is not known"))
 	}
 	reply, err := n.calls.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_KeepRecords{KeepRecords: &peerpb.KeepRecords{
 		Records: []*peerpb.KeepRecords_Record{{Key: record.Key, Value: record.Value}},
 	}}})
+	if port.NotStarted.Has(err) {
+		return port.NotStarted.Wrap(port.NoOwner.Wrap(err))
+	}
 	if err != nil {
 		return err
 	}
-	if refusal := reply.GetAck().GetRefusal(); refusal != nil {
-		if refusal.GetReason() == peerpb.Refusal_NOT_OWNER {
-			return port.NotStarted.New("%s", refusal.GetDetail())
-		}
+	refusal := reply.GetAck().GetRefusal()
+	switch refusal.GetReason() {
+	case peerpb.Refusal_NOT_OWNER:
+		return port.NotStarted.Wrap(port.NoOwner.New("%s", refusal.GetDetail()))
+	case peerpb.Refusal_LOG_UNAVAILABLE:
+		return port.NotStarted.New("%s", refusal.GetDetail())
+	}
+	if refusal != nil {
 		return errs.New("%s", refusal.GetDetail())
 	}
 	return nil
@@ -52,6 +59,8 @@
 	switch {
 	case err == nil:
 		return &peerpb.Ack{}
+	case port.NotStarted.Has(err) && !port.NoOwner.Has(err):
+		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_LOG_UNAVAILABLE, Detail: err.Error()}}
 	case port.NotStarted.Has(err):
 		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_NOT_OWNER, Detail: err.Error()}}
 	default:
--- a/internal/port/celllog.go
+++ b/internal/port/celllog.go
@@ -16,6 +16,9 @@
 	Fenced = errs.Class("fenced by a newer epoch")
 	// Conflict tells that the log did not end at the expected offset.
 	Conflict = errs.Class("log has moved on")
+	// NoOwner tells that a record did not reach the cell's owner, or that there
+	// is none; the next one will take it.
+	NoOwner = errs.Class("no owner")
 	// Truncated tells that records at the offset are no longer kept.
 	Truncated = errs.Class("log is truncated")
 )
