Order the queue by teams' shares and by what is left of a job

A step also counted as in time when it alone could be, though the steps behind it could not.

Ruled out: the teams' limits and free room (used 1,341 of 1,440 cores, waiting steps of every queue; trial with a line on load every 25 passes).

Change: among steps of one prospect and priority, teams that have less running than their weight gives them come first, judged anew for each step that is placed; the prospect and the slack count the whole path to the job's end.

Tests: TestATeamBeyondItsShareGivesWayToOthers and TestAStepIsJudgedByWhatFollowsIt, both failed before. Seen on the way: a step that already has the policy's word takes room that a more urgent one is asking for; next.

--- a/internal/core/dispatch/jobs.go
+++ b/internal/core/dispatch/jobs.go
@@ -137,18 +137,19 @@
 	o := &occurrence{job: j, number: number, due: j.due(number)}
 	queue := e.queue(j)
 	o.deadline = o.due.Add(time.Duration(queue.Slowdown*float64(j.spec.chain())) + queue.Target)
+	tails := j.spec.tails()
 	for i := range j.spec.Steps {
-		o.steps = append(o.steps, newStep(o, i))
+		o.steps = append(o.steps, newStep(o, i, tails[i]))
 	}
 	j.occurrences[number] = o
 	e.refreshReady(o)
 	return o
 }
 
-func newStep(o *occurrence, index int) *step {
+func newStep(o *occurrence, index int, tail time.Duration) *step {
 	spec := &o.job.spec.Steps[index]
 	s := &step{
-		occurrence: o, index: index, spec: spec,
+		occurrence: o, index: index, spec: spec, tail: tail,
 		left: spec.Tasks, waiting: spec.Tasks,
 		tickets: map[model.VMID]ticket{}, refused: map[model.VMID]bool{},
 	}
--- a/internal/core/dispatch/load_test.go
+++ b/internal/core/dispatch/load_test.go
@@ -143,3 +143,49 @@
 	b.step()
 	assert.Equal(t, at, b.began["fresh"])
 }
+
+func TestATeamBeyondItsShareGivesWayToOthers(t *testing.T) {
+	queue := batchQueue
+	queue.Advised = false
+	b := newBurst(t, 8, []Queue{queue}, []Team{{Name: "hot", Weight: 30}, {Name: "calm", Weight: 30}})
+	for i := range 100 { // twelve times what the workers hold
+		b.submit(fmt.Sprintf("hot%03d", i), "hot", queue, wideStep(8, 4000))
+	}
+	b.step()
+	for i := range 4 { // half of what the workers hold
+		b.submit(fmt.Sprintf("calm%d", i), "calm", queue, wideStep(8, 4000))
+	}
+	at := b.now
+	b.step()
+	for i := range 4 {
+		assert.Equal(t, at, b.began[model.JobID(fmt.Sprintf("calm%d", i))], "calm%d waits behind the other team", i)
+	}
+	hot := 0
+	for _, orders := range b.running {
+		for _, order := range orders {
+			if order.Task.Job[:3] == "hot" {
+				hot++
+			}
+		}
+	}
+	assert.Equal(t, 32, hot, "the rest is the other team's")
+}
+
+func TestAStepIsJudgedByWhatFollowsIt(t *testing.T) {
+	b := newBurst(t, 1, []Queue{urgentQueue}, []Team{{Name: "a"}})
+	chain := JobSpec{Team: "a", Queue: urgentQueue, Payload: "p", Submitted: b.wall()}
+	for i := range 4 { // objective: 3 x 4 s + 2 s
+		step := wideStep(8, 4000)
+		if i > 0 {
+			step.DependsOn = []int{i - 1}
+		}
+		chain.Steps = append(chain.Steps, step)
+	}
+	b.now += 11 * time.Second // the first step alone would be in time, its job is not
+	require.True(t, b.engine.AddJob("chain", chain, b.wall()))
+	b.submit("single", "a", urgentQueue, wideStep(8, 4000))
+	at := b.now
+	b.step()
+	assert.Equal(t, at, b.began["single"])
+	assert.NotContains(t, b.began, model.JobID("chain"))
+}
--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -79,7 +79,7 @@
 const lateFactor = 3
 
 func (o *occurrence) prospect(s *step, wall time.Time) prospect {
-	finish := wall.Add(s.spec.Estimate)
+	finish := wall.Add(s.tail)
 	switch {
 	case !finish.After(o.deadline):
 		return onTime
@@ -90,29 +90,126 @@
 	}
 }
 
-// order returns the ready steps, the most urgent first: those that can still
-// meet their objective, by the priority of their queue, then by deadline.
-func (e *Engine) order(wall time.Time) []*step {
-	type ranked struct {
-		step     *step
-		priority int
-		prospect prospect
-		slack    time.Duration
+// lineup hands out the ready steps, the most urgent first: those that can still
+// meet their objective, by the priority of their queue, then those of teams
+// within their share, then by the time that is left. A team's share is judged
+// anew for each step, so that one team does not take all that has become free.
+type lineup struct {
+	ranks    []rank
+	capacity model.Resources // of all workers
+	weights  float64         // of the teams that want or have something
+}
+
+// rank holds the steps between which only shares and time decide.
+type rank struct {
+	prospect prospect
+	priority int
+	teams    []teamSteps
+}
+
+type teamSteps struct {
+	team  *team
+	steps []slackStep // by slack
+}
+
+type slackStep struct {
+	step  *step
+	slack time.Duration
+}
+
+// next returns the next step, or nil after the last one.
+func (l *lineup) next() *step {
+	for len(l.ranks) > 0 {
+		r := &l.ranks[0]
+		best, bestBeyond := -1, false
+		for i := range r.teams {
+			if len(r.teams[i].steps) == 0 {
+				continue
+			}
+			beyond := l.beyondShare(r.teams[i].team)
+			if best < 0 || bestBeyond && !beyond ||
+				bestBeyond == beyond && r.teams[i].steps[0].compare(r.teams[best].steps[0]) < 0 {
+				best, bestBeyond = i, beyond
+			}
+		}
+		if best >= 0 {
+			first := r.teams[best].steps[0].step
+			r.teams[best].steps = r.teams[best].steps[1:]
+			return first
+		}
+		l.ranks = l.ranks[1:]
+	}
+	return nil
+}
+
+// beyondShare reports whether the team has more running than its weight gives
+// it among the teams that want or have something.
+func (l *lineup) beyondShare(t *team) bool {
+	return dominantShare(t.used, l.capacity) >= t.weight()/l.weights
+}
+
+func (s slackStep) compare(other slackStep) int {
+	a, b := s.step.occurrence, other.step.occurrence
+	return cmp.Or(cmp.Compare(s.slack, other.slack), cmp.Compare(a.job.id, b.job.id),
+		cmp.Compare(a.number, b.number), cmp.Compare(s.step.index, other.step.index))
+}
+
+func (e *Engine) order(wall time.Time) *lineup {
+	l := &lineup{}
+	active := map[*team]bool{}
+	for _, w := range e.workers {
+		if w.listed && w.synced {
+			l.capacity = l.capacity.Add(w.info.Capacity)
+		}
+	}
+	for _, t := range e.teams {
+		if t.used != (model.Resources{}) {
+			active[t] = true
+		}
 	}
-	list := make([]ranked, 0, len(e.ready))
 	for s := range e.ready {
 		o := s.occurrence
-		slack := o.deadline.Sub(wall) - s.spec.Estimate
-		list = append(list, ranked{s, e.queue(o.job).Priority, o.prospect(s, wall), slack})
+		owner := e.team(o.job.spec.Team)
+		active[owner] = true
+		r := l.rank(o.prospect(s, wall), e.queue(o.job).Priority)
+		i := slices.IndexFunc(r.teams, func(t teamSteps) bool { return t.team == owner })
+		if i < 0 {
+			i = len(r.teams)
+			r.teams = append(r.teams, teamSteps{team: owner})
+		}
+		r.teams[i].steps = append(r.teams[i].steps, slackStep{s, o.deadline.Sub(wall) - s.tail})
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.prospect, b.prospect), cmp.Compare(a.priority, b.priority),
-			cmp.Compare(a.slack, b.slack), cmp.Compare(a.step.occurrence.job.id, b.step.occurrence.job.id),
-			cmp.Compare(a.step.index, b.step.index))
+	for t := range active {
+		l.weights += t.weight()
+	}
+	for i := range l.ranks {
+		for j := range l.ranks[i].teams {
+			slices.SortFunc(l.ranks[i].teams[j].steps, slackStep.compare)
+		}
+	}
+	slices.SortFunc(l.ranks, func(a, b rank) int {
+		return cmp.Or(cmp.Compare(a.prospect, b.prospect), cmp.Compare(a.priority, b.priority))
 	})
-	steps := make([]*step, len(list))
-	for i, r := range list {
-		steps[i] = r.step
+	return l
+}
+
+// rank returns the rank, which it adds when it is new.
+func (l *lineup) rank(p prospect, priority int) *rank {
+	for i := range l.ranks {
+		if l.ranks[i].prospect == p && l.ranks[i].priority == priority {
+			return &l.ranks[i]
+		}
 	}
-	return steps
+	l.ranks = append(l.ranks, rank{prospect: p, priority: priority})
+	return &l.ranks[len(l.ranks)-1]
+}
+
+// weight returns the team's weight; a team without one counts like one of the
+// smallest.
+func (t *team) weight() float64 { return max(t.policy.Weight, 1) }
+
+// dominantShare returns the largest part of a dimension of the whole.
+func dominantShare(part, whole model.Resources) float64 {
+	return max(fraction(part.MilliCPU, whole.MilliCPU), fraction(part.MemoryMiB, whole.MemoryMiB),
+		fraction(part.Accelerators, whole.Accelerators))
 }
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -26,7 +26,8 @@
 	}
 	e.room = e.freeRoom(now)
 	clear(e.claims)
-	for _, s := range e.order(wall) {
+	queue := e.order(wall)
+	for s := queue.next(); s != nil; s = queue.next() {
 		if !e.advised(s) && s.blocked == e.version && s.blocked != 0 {
 			continue
 		}
--- a/internal/core/dispatch/spec.go
+++ b/internal/core/dispatch/spec.go
@@ -123,20 +123,27 @@
 	return false
 }
 
+// tails returns for each step the longest estimated path from its start to the
+// end of the job.
+func (s *JobSpec) tails() []time.Duration {
+	tails := make([]time.Duration, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		tails[i] += s.Steps[i].Estimate
+		if s.Queue.Advised {
+			tails[i] += s.Queue.AdviceDecision + adviceBatch*s.Queue.AdvicePerWorker
+		}
+		for _, earlier := range s.Steps[i].DependsOn {
+			tails[earlier] = max(tails[earlier], tails[i])
+		}
+	}
+	return tails
+}
+
 // chain returns the longest estimated path through the steps.
 func (s *JobSpec) chain() time.Duration {
-	finish := make([]time.Duration, len(s.Steps))
 	longest := time.Duration(0)
-	for i := range s.Steps {
-		begin := time.Duration(0)
-		for _, earlier := range s.Steps[i].DependsOn {
-			begin = max(begin, finish[earlier])
-		}
-		finish[i] = begin + s.Steps[i].Estimate
-		if s.Queue.Advised {
-			finish[i] += s.Queue.AdviceDecision + adviceBatch*s.Queue.AdvicePerWorker
-		}
-		longest = max(longest, finish[i])
+	for _, tail := range s.tails() {
+		longest = max(longest, tail)
 	}
 	return longest
 }
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -42,6 +42,7 @@
 	occurrence *occurrence
 	index      int
 	spec       *StepSpec
+	tail       time.Duration // estimated from the step's start to the job's end
 	tasks      []*task
 	left       int // tasks that are not done
 	waiting    int // tasks that may be placed
