Place jobs with the append that stores them; claim in one call

Cause: on a slow log (312 ms a call) a job took four calls from its hand-in to its first start: the append, the owner's read of it, the append of the placement, and the one under way before. A claim read the owners' topic first, which the silent owner's epoch already tells.

Ruled out: the pace of the owner's reads (4 ms).

Change: the owner hands jobs to the engine when their records join a batch, and the batch holds their placements too; orders still wait for the append. A claim is appended at the offset that the silent owner's epoch gives, and the topic is read only after a conflict. After a planned stop the two youngest nodes claim first: a restart of all nodes in turn comes to them last.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -118,8 +118,8 @@
 	})
 	candidate := &tenure.Candidate{
 		Node: name, Log: n.log, Clock: c.clock, Replica: n.replica, Tail: tail, Owner: n.owner, Logger: logger,
-		Leaving: n.leaving.Load,
-		Gone:    func(context.Context, replica.OwnerSign) bool { return false },
+		Leaving: n.leaving.Load, Handicap: func() time.Duration { return 0 },
+		Gone: func(context.Context, replica.OwnerSign) bool { return false },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
@@ -321,6 +321,31 @@
 	})
 }
 
+func TestAJobIsPlacedWithTheAppendThatStoresIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const answer = 300 * time.Millisecond
+		c := newCell(t, 1, 3, 6)
+		time.Sleep(3 * time.Second)
+		c.setLog(func(l *memLog) { l.delay = answer })
+		time.Sleep(2 * time.Second)
+		spec := dispatch.JobSpec{Team: "b", Queue: cellQueue, Payload: "p", Steps: []dispatch.StepSpec{{
+			Tasks: 1, Estimate: time.Second, Size: model.Resources{MilliCPU: 500, MemoryMiB: 100},
+		}}}
+		for i := range 5 {
+			handedIn := time.Now()
+			require.True(t, c.submitOnce(i, spec, time.Second))
+			time.Sleep(time.Second)
+			c.fleet.mu.Lock()
+			began := c.fleet.jobs[model.JobID(fmt.Sprintf("%016x", i))].began
+			c.fleet.mu.Unlock()
+			// One append may be under way when the job comes; the next one stores it.
+			assert.Less(t, began.Sub(handedIn), 2*answer+100*time.Millisecond)
+			time.Sleep(time.Duration(137*i) * time.Millisecond)
+		}
+		c.close()
+	})
+}
+
 // trouble is one fault of a random day.
 type trouble struct {
 	name  string
--- a/internal/app/celltest/worker_test.go
+++ b/internal/app/celltest/worker_test.go
@@ -31,6 +31,7 @@
 type submitted struct {
 	spec      dispatch.JobSpec
 	work      time.Duration              // of each task
+	began     time.Time                  // of the first run
 	cancelled time.Time                  // zero unless the cancellation was acknowledged
 	done      map[dispatch.TaskName]bool // ended well, known to the owner or not
 	ended     map[dispatch.TaskName]bool // ended well, and taken note of
@@ -268,6 +269,9 @@
 	}
 	f.judgeStart(w, order, j)
 	w.running[order.Task] = &fakeRun{run: order.Run}
+	if j.began.IsZero() {
+		j.began = time.Now()
+	}
 	work := j.work
 	how := dispatch.EndDone
 	if f.rng.Float64() < f.failShare {
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -40,7 +40,9 @@
 // round makes one round of decisions durable. An error ends the tenure.
 func (t *tenure) round(ctx context.Context) error {
 	now := t.Clock.Now()
+	wishes := t.takeWishes()
 	t.mu.Lock()
+	t.admit(wishes)
 	t.engine.Schedule(now, t.Clock.Wall())
 	batch := t.engine.Take()
 	stops := t.engine.TakeStops()
@@ -55,7 +57,6 @@
 	t.stale = nil
 	t.engine.SetAskers(t.Replica.MemberCount())
 	t.mu.Unlock()
-	wishes := t.takeWishes()
 	leaving := t.owner.leaving.Load()
 
 	t.log(events)
@@ -68,13 +69,15 @@
 	for _, query := range queries {
 		go t.advise(ctx, query) // waits for the policy; their number is that of the waiting steps
 	}
-	records, err := t.records(&batch, stale, now, leaving)
+	decided, err := t.records(&batch, stale, now, leaving)
 	if err != nil {
 		return err
 	}
+	var records []port.KeyedRecord
 	for _, wish := range wishes {
 		records = append(records, wish.records...)
 	}
+	records = append(records, decided...) // a placement after the job that it is of
 	if len(records) > 0 {
 		_, err := t.append(ctx, records)
 		for _, wish := range wishes {
@@ -91,6 +94,25 @@
 	return nil
 }
 
+// admit hands the jobs that the next append stores to the engine, so that the
+// same append can hold their placements. Nothing is ordered before it is
+// durable, and without it the tenure ends. The caller holds mu.
+func (t *tenure) admit(wishes []*wish) {
+	wall := t.Clock.Wall()
+	for _, wish := range wishes {
+		for _, record := range wish.records {
+			id, submission, ok := replica.Submitted(record)
+			if !ok {
+				continue
+			}
+			if _, known := t.Replica.State(id); known {
+				continue // it came again
+			}
+			t.engine.AddJob(id, replica.Spec(submission), wall)
+		}
+	}
+}
+
 func (t *tenure) records(batch *dispatch.Batch, stale []model.JobID, now time.Duration, leaving bool) ([]port.KeyedRecord, error) {
 	records, err := replica.BatchRecords(batch, t.Clock.Wall())
 	if err != nil {
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -42,6 +42,10 @@
 	// lowShare is the processor share of a VM that lets the others claim first.
 	lowShare      = 0.35
 	lowShareDelay = 200 * time.Millisecond
+	// youngFirst is the number of the youngest nodes that claim without elderDelay,
+	// which is longer than the random part of a claim's delay.
+	youngFirst = 2
+	elderDelay = 200 * time.Millisecond
 	// exitMargin is left between a node's exit and the platform's kill.
 	exitMargin = 1500 * time.Millisecond
 	// lingerTime is how long a leaving node takes calls on open connections.
@@ -82,6 +86,7 @@
 	ingress  *platform.Ingress
 	calls    *peer.Client
 
+	self    replica.Member
 	leaving atomic.Bool
 }
 
@@ -90,6 +95,7 @@
 		settings: settings, logger: logger, clock: sysclock.Clock{},
 		advisor: platform.NewAdvisor(settings.PolicyAddress), policy: &policy.Holder{},
 	}
+	n.self = replica.Member{Address: settings.PeerAddress, Started: time.UnixMilli(n.clock.Wall().UnixMilli())}
 	n.store = platform.NewStore(settings.StoreAddress, n.clock, n.relay)
 	n.replica = replica.New(n.clock, logger.WithField("part", "replica"))
 	n.cell = &logtail.Tail{
@@ -154,7 +160,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	candidate := &tenure.Candidate{
-		Node: n.settings.Node, Address: n.settings.PeerAddress, Handicap: n.handicap(),
+		Node: n.settings.Node, Address: n.settings.PeerAddress, Handicap: n.handicap,
 		Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cell, Owner: n.owner,
 		Logger: n.logger.WithField("part", "tenure"), Leaving: n.leaving.Load, Gone: n.ownerGone,
 	}
@@ -186,11 +192,17 @@
 	}
 }
 
+// handicap lets larger VMs claim first, and after a planned stop the nodes that
+// have just started: a restart of all nodes in turn comes to them last.
 func (n *node) handicap() time.Duration {
+	delay := time.Duration(0)
 	if n.settings.VM.ProcessorShare*max(1, n.settings.VM.Cores) < lowShare {
-		return lowShareDelay
+		delay += lowShareDelay
 	}
-	return 0
+	if n.replica.Owner().Resigned && n.replica.Younger(n.settings.Node) >= youngFirst {
+		delay += elderDelay
+	}
+	return delay
 }
 
 // leave hands the cell over and goes on serving open connections until callers
@@ -212,8 +224,8 @@
 }
 
 func (n *node) announced() bool {
-	address, _ := n.replica.Member(n.settings.Node)
-	return address == n.settings.PeerAddress
+	member, _ := n.replica.Member(n.settings.Node)
+	return member.Address == n.self.Address && member.Started.Equal(n.self.Started)
 }
 
 // announce keeps the node's peer address on the cell's log.
@@ -222,7 +234,7 @@
 	defer ticker.Stop()
 	for {
 		if n.cell.Fresh() != 0 && !n.announced() && !n.leaving.Load() {
-			record, err := replica.MemberRecord(n.settings.Node, n.settings.PeerAddress)
+			record, err := replica.MemberRecord(n.settings.Node, n.self)
 			if err == nil {
 				_, err = n.store.Append(ctx, replica.CellTopic, []port.KeyedRecord{record}, port.AppendOptions{})
 			}
--- a/internal/app/node/peers.go
+++ b/internal/app/node/peers.go
@@ -23,11 +23,11 @@
 		return n.owner.Append(ctx, []port.KeyedRecord{record})
 	}
 	owner := n.replica.Owner()
-	address, known := n.replica.Member(owner.Node)
+	member, known := n.replica.Member(owner.Node)
 	if !known || owner.Resigned || owner.Node == n.settings.Node {
 		return port.NotStarted.Wrap(port.NoOwner.New("the cell's owner is not known"))
 	}
-	reply, err := n.calls.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_KeepRecords{KeepRecords: &peerpb.KeepRecords{
+	reply, err := n.calls.Call(ctx, member.Address, &peerpb.Request{Body: &peerpb.Request_KeepRecords{KeepRecords: &peerpb.KeepRecords{
 		Records: []*peerpb.KeepRecords_Record{{Key: record.Key, Value: record.Value}},
 	}}})
 	if port.NotStarted.Has(err) {
@@ -108,11 +108,11 @@
 // ownerGone asks the owner whether it still serves. A node that refuses
 // connections has no process any more.
 func (n *node) ownerGone(ctx context.Context, owner replica.OwnerSign) bool {
-	address, known := n.replica.Member(owner.Node)
+	member, known := n.replica.Member(owner.Node)
 	if !known {
 		return false
 	}
-	reply, err := n.calls.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{Epoch: owner.Epoch}}})
+	reply, err := n.calls.Call(ctx, member.Address, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{Epoch: owner.Epoch}}})
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/app/replica/records.go
+++ b/internal/app/replica/records.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -30,6 +31,20 @@
 	return message(SubmissionKey(id), submission)
 }
 
+// Submitted returns the job that a submission's record holds, or false for any
+// other record.
+func Submitted(record port.KeyedRecord) (model.JobID, *logpb.Submission, bool) {
+	id, ok := strings.CutPrefix(record.Key, submissionPrefix)
+	if !ok || record.Value == nil {
+		return "", nil, false
+	}
+	submission := new(logpb.Submission)
+	if err := proto.Unmarshal(record.Value, submission); err != nil {
+		return "", nil, false // the log's followers say so
+	}
+	return model.JobID(id), submission, true
+}
+
 // CancellationRecord returns the record of a cancelled job.
 func CancellationRecord(id model.JobID, at time.Time) (port.KeyedRecord, error) {
 	return message(CancellationKey(id), &logpb.Cancellation{CancelledUnixMs: at.UnixMilli()})
@@ -40,9 +55,9 @@
 	return message(OwnerKey, &logpb.OwnerRecord{Epoch: epoch, Node: node, Resigned: resigned})
 }
 
-// MemberRecord returns the record of a node's peer address.
-func MemberRecord(node, address string) (port.KeyedRecord, error) {
-	return message(MemberKey(node), &logpb.MemberRecord{Address: address})
+// MemberRecord returns the record of a node's peer address and start.
+func MemberRecord(node string, member Member) (port.KeyedRecord, error) {
+	return message(MemberKey(node), &logpb.MemberRecord{Address: member.Address, StartedUnixMs: member.Started.UnixMilli()})
 }
 
 // UpkeepRecord returns the record that a machine's upkeep has begun.
--- a/internal/app/replica/replica.go
+++ b/internal/app/replica/replica.go
@@ -4,7 +4,6 @@
 package replica
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -72,11 +71,17 @@
 	current atomic.Pointer[table]
 
 	mu      sync.Mutex // guards what follows
-	members map[string]string
+	members map[string]Member
 	upkeeps map[string][]string // machines by wave
 	owner   OwnerSign
 }
 
+// Member is what a node announces of itself.
+type Member struct {
+	Address string // for its peers
+	Started time.Time
+}
+
 // OwnerSign is the newest sign of life of an owner.
 type OwnerSign struct {
 	Epoch    uint64
@@ -117,7 +122,7 @@
 
 // New returns an empty replica.
 func New(clock port.Clock, logger logrus.FieldLogger) *Replica {
-	r := &Replica{clock: clock, logger: logger, members: map[string]string{}, upkeeps: map[string][]string{}}
+	r := &Replica{clock: clock, logger: logger, members: map[string]Member{}, upkeeps: map[string][]string{}}
 	r.current.Store(newTable())
 	return r
 }
@@ -128,7 +133,7 @@
 	r.apply.Lock()
 	defer r.apply.Unlock()
 	r.mu.Lock()
-	r.members = map[string]string{}
+	r.members = map[string]Member{}
 	r.upkeeps = map[string][]string{}
 	r.mu.Unlock()
 	r.loading = newTable()
@@ -247,19 +252,36 @@
 	return len(r.members)
 }
 
-// Member returns the peer address of a node.
-func (r *Replica) Member(node string) (string, bool) {
+// Member returns what a node has announced.
+func (r *Replica) Member(node string) (Member, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	address, known := r.members[node]
-	return address, known
+	member, known := r.members[node]
+	return member, known
+}
+
+// Younger returns the number of other nodes that have started later.
+func (r *Replica) Younger(node string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for name, member := range r.members {
+		if name != node && member.Started.After(r.members[node].Started) {
+			count++
+		}
+	}
+	return count
 }
 
 // Members returns the peer addresses of the nodes by name.
 func (r *Replica) Members() map[string]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return maps.Clone(r.members)
+	addresses := make(map[string]string, len(r.members))
+	for node, member := range r.members {
+		addresses[node] = member.Address
+	}
+	return addresses
 }
 
 // Listen hands every job to visit and from then on tells the listener what
--- a/internal/app/replica/take.go
+++ b/internal/app/replica/take.go
@@ -160,7 +160,7 @@
 	if value == nil {
 		delete(r.members, node)
 	} else {
-		r.members[node] = member.GetAddress()
+		r.members[node] = Member{Address: member.GetAddress(), Started: time.UnixMilli(member.GetStartedUnixMs())}
 	}
 	return nil
 }
--- a/internal/app/tenure/tenure.go
+++ b/internal/app/tenure/tenure.go
@@ -48,8 +48,8 @@
 type Candidate struct {
 	Node    string
 	Address string
-	// Handicap delays the claims of a small VM, so that a larger one goes first.
-	Handicap time.Duration
+	// Handicap returns how long the node leaves a claim to better placed ones.
+	Handicap func() time.Duration
 	Log      port.KeyedLog
 	Clock    port.Clock
 	Replica  *replica.Replica
@@ -62,6 +62,8 @@
 	// node that does not answer is not gone.
 	Gone func(ctx context.Context, sign replica.OwnerSign) bool
 
+	// contested is the silent owner's epoch to which another claim was found.
+	contested uint64
 	// The newest claim without a sign of its holder, and when it was first seen.
 	seenClaim   uint64
 	seenClaimAt time.Duration
@@ -76,7 +78,7 @@
 			continue
 		}
 		silent := c.Replica.Owner().Epoch
-		pause.Sleep(ctx, c.Handicap+rand.N(spread))
+		pause.Sleep(ctx, c.Handicap()+rand.N(spread))
 		if c.Replica.Owner().Epoch != silent || c.Leaving() || ctx.Err() != nil {
 			continue
 		}
@@ -128,24 +130,32 @@
 }
 
 // claim appends a claim after the newest one. It returns the epoch. silent is
-// the epoch of the owner that was found silent.
+// the epoch of the owner that was found silent; its claim is the topic's last
+// record unless another node has claimed since.
 func (c *Candidate) claim(ctx context.Context, silent uint64) (uint64, error) {
 	value, err := proto.Marshal(&logpb.OwnerClaim{Node: c.Node, Address: c.Address})
 	if err != nil {
 		return 0, errs.Wrap(err)
 	}
-	end, before, err := c.newest(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if before > silent && !c.waited(before) {
-		return 0, errs.New("another node has claimed the cell with epoch %d", before)
+	end := silent
+	if silent == 0 || c.contested == silent {
+		newest, before, err := c.newest(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if before > silent && !c.waited(before) {
+			return 0, errs.New("another node has claimed the cell with epoch %d", before)
+		}
+		end = newest
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	offset, err := c.Log.Append(callCtx, replica.OwnerTopic,
 		[]port.KeyedRecord{{Key: claimKey, Value: value}}, port.AppendOptions{EndsAt: &end})
 	if err != nil {
+		if port.Conflict.Has(err) {
+			c.contested = silent
+		}
 		return 0, err
 	}
 	return offset + 1, nil
