Hand the cell over at a planned stop and tell the nodes of a new owner

Ruled out: the claim itself (one call) and congestion of the topic (mended before).

Change: the leaving owner picks the youngest node that can take over, claims the cell for it and tells it; it serves until the successor's first append fences it. Each new owner tells the other nodes, which send callers' records to it before they have read its first sign; it keeps them for its first batch. A batch that is fenced at its first try proves that its records were not stored.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -38,14 +38,15 @@
 
 // cellNode is one node's parts, as balsam-node puts them together.
 type cellNode struct {
-	name    string
-	log     *nodeLog
-	replica *replica.Replica
-	owner   *dispatcher.Dispatcher
-	service *intake.Service
-	leaving atomic.Bool
-	stop    context.CancelFunc
-	done    chan struct{}
+	name      string
+	log       *nodeLog
+	replica   *replica.Replica
+	owner     *dispatcher.Dispatcher
+	service   *intake.Service
+	leaving   atomic.Bool
+	candidate *tenure.Candidate
+	stop      context.CancelFunc
+	done      chan struct{}
 }
 
 type cell struct {
@@ -116,16 +117,17 @@
 		Policy: holder, Log: n.log, Replica: n.replica, Tail: tail, Clock: c.clock, Logger: logger,
 		Forward: func(ctx context.Context, record port.KeyedRecord) error { return c.forward(ctx, n, record) },
 	})
-	candidate := &tenure.Candidate{
+	n.candidate = &tenure.Candidate{
 		Node: name, Log: n.log, Clock: c.clock, Replica: n.replica, Tail: tail, Owner: n.owner, Logger: logger,
 		Leaving: n.leaving.Load, Handicap: func() time.Duration { return 0 },
+		Peers: &cellPeers{c, n}, Offers: make(chan uint64, 1),
 		Gone: func(context.Context, replica.OwnerSign) bool { return false },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go tail.Run(ctx)
 	go func() {
-		candidate.Run(ctx)
+		n.candidate.Run(ctx)
 		close(n.done)
 	}()
 	return n
@@ -142,6 +144,49 @@
 	return port.NotStarted.Wrap(port.NoOwner.New("no owner is known"))
 }
 
+// cellPeers are the other nodes as one node reaches them.
+type cellPeers struct {
+	cell *cell
+	self *cellNode
+}
+
+func (p *cellPeers) Successors() []string {
+	var names []string
+	for i := range p.cell.nodes {
+		if n := p.cell.node(i); n != nil && n != p.self {
+			names = append(names, n.name)
+		}
+	}
+	return names
+}
+
+// reach returns the node's candidate, or nil if the node has stopped.
+func (p *cellPeers) reach(name string) *tenure.Candidate {
+	for i := range p.cell.nodes {
+		if n := p.cell.node(i); n != nil && n.name == name {
+			select {
+			case <-n.done:
+				return nil
+			default:
+				return n.candidate
+			}
+		}
+	}
+	return nil
+}
+
+func (p *cellPeers) Fit(_ context.Context, name string) bool {
+	peer := p.reach(name)
+	return peer != nil && peer.Fit()
+}
+
+func (p *cellPeers) Tell(_ context.Context, name string, epoch uint64, owner string) error {
+	if peer := p.reach(name); peer != nil {
+		return peer.Told(epoch, owner)
+	}
+	return port.NotStarted.New("node %s has stopped", name)
+}
+
 // owner returns the index of the node that owns the cell, or -1.
 func (c *cell) owner() int {
 	for i := range c.nodes {
@@ -156,6 +201,11 @@
 func (c *cell) leave(i int) {
 	n := c.node(i)
 	n.leaving.Store(true)
+	if n.owner.Owning() {
+		if err := n.candidate.HandOver(context.Background(), n.owner.Epoch(), n.owner.Owning); err != nil {
+			c.t.Logf("%s: %v", n.name, err)
+		}
+	}
 	n.owner.Resign()
 	time.Sleep(time.Second)
 	c.kill(i)
@@ -321,6 +371,45 @@
 	})
 }
 
+func TestAPlannedStopHardlyHoldsUpJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const answer = 300 * time.Millisecond
+		c := newCell(t, 1, 5, 24)
+		time.Sleep(3 * time.Second)
+		c.setLog(func(l *memLog) { l.delay = answer })
+		time.Sleep(2 * time.Second)
+		former := c.owner()
+		require.GreaterOrEqual(t, former, 0)
+		var clients sync.WaitGroup
+		clients.Go(func() { c.leave(former) })
+		handedIn := make([]time.Time, 30)
+		for i := range handedIn { // 10 jobs a second
+			handedIn[i] = time.Now()
+			clients.Go(func() {
+				spec := dispatch.JobSpec{Team: "b", Queue: cellQueue, Payload: "p", Steps: []dispatch.StepSpec{{
+					Tasks: 1, Estimate: time.Second, Size: model.Resources{MilliCPU: 500, MemoryMiB: 100},
+				}}}
+				assert.True(t, c.submitOnce(i, spec, time.Second), "job %d", i)
+			})
+			time.Sleep(100 * time.Millisecond)
+		}
+		clients.Wait()
+		time.Sleep(5 * time.Second)
+		c.fleet.mu.Lock()
+		for i, at := range handedIn {
+			began := c.fleet.jobs[model.JobID(fmt.Sprintf("%016x", i))].began
+			// One append under way, the successor's first sign and its way back, the batch.
+			assert.Less(t, began.Sub(at), 4*answer+100*time.Millisecond, "job %d", i)
+		}
+		c.fleet.mu.Unlock()
+		c.setLog(func(l *memLog) { l.delay = 4 * time.Millisecond })
+		c.restart(former)
+		time.Sleep(5 * time.Second)
+		c.check()
+		c.close()
+	})
+}
+
 func TestAJobIsPlacedWithTheAppendThatStoresIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const answer = 300 * time.Millisecond
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -192,6 +192,9 @@
 			}
 			return offset, nil
 		}
+		if port.Fenced.Has(err) && !lost {
+			return 0, port.NotStarted.Wrap(port.NoOwner.Wrap(err)) // no attempt was carried out
+		}
 		if port.Fenced.Has(err) || port.Conflict.Has(err) {
 			return 0, err
 		}
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -68,6 +68,9 @@
 // one.
 func (d *Dispatcher) Serving(epoch uint64) bool { return d.epoch.Load() >= epoch && d.owning.Load() }
 
+// Epoch returns the epoch of the last tenure.
+func (d *Dispatcher) Epoch() uint64 { return d.epoch.Load() }
+
 // Resign makes a tenure under way end at its next append.
 func (d *Dispatcher) Resign() { d.leaving.Store(true) }
 
@@ -88,15 +91,15 @@
 	d.epoch.Store(epoch)
 	d.owning.Store(true)
 	defer d.owning.Store(false)
-	if err := t.takeOver(ctx); err != nil {
-		return err
-	}
-	defer d.options.Replica.Listen(nil, nil)
-	d.current.Store(t)
+	d.current.Store(t) // callers' records wait for the first batch
 	defer func() {
 		d.current.Store(nil)
 		t.refuseWishes()
 	}()
+	if err := t.takeOver(ctx); err != nil {
+		return err
+	}
+	defer d.options.Replica.Listen(nil, nil)
 	d.options.Policy.Notify(t.policyChanged)
 	var group sync.WaitGroup
 	group.Go(func() {
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -86,8 +86,9 @@
 	ingress  *platform.Ingress
 	calls    *peer.Client
 
-	self    replica.Member
-	leaving atomic.Bool
+	candidate *tenure.Candidate
+	self      replica.Member
+	leaving   atomic.Bool
 }
 
 func build(settings platform.Settings, logger logrus.FieldLogger) (*node, error) {
@@ -130,6 +131,11 @@
 		Policy: n.policy, Log: n.store, Replica: n.replica, Tail: n.cell, Clock: n.clock,
 		Logger: logger.WithField("part", "intake"), Forward: n.forward,
 	})
+	n.candidate = &tenure.Candidate{
+		Node: n.settings.Node, Peers: n, Offers: make(chan uint64, 1), Handicap: n.handicap,
+		Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cell, Owner: n.owner,
+		Logger: n.logger.WithField("part", "tenure"), Leaving: n.leaving.Load, Gone: n.ownerGone,
+	}
 	n.ingress = platform.NewIngress(service, settings.CallersAddress, settings.ReadinessAddress)
 	return n, nil
 }
@@ -159,13 +165,8 @@
 	n.logger.WithField("settings", n.settings).Info("node starts")
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	candidate := &tenure.Candidate{
-		Node: n.settings.Node, Address: n.settings.PeerAddress, Handicap: n.handicap,
-		Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cell, Owner: n.owner,
-		Logger: n.logger.WithField("part", "tenure"), Leaving: n.leaving.Load, Gone: n.ownerGone,
-	}
 	n.cell.Poll = func() time.Duration {
-		if candidate.Quiet() {
+		if n.candidate.Quiet() {
 			return quietPoll
 		}
 		return longestPoll
@@ -173,7 +174,7 @@
 	go n.operator.Run(work)
 	go n.cell.Run(work)
 	go n.announce(work)
-	go candidate.Run(work)
+	go n.candidate.Run(work)
 	failed := make(chan error, 2)
 	go func() { failed <- n.ingress.Run() }()
 	if n.settings.MetricsAddress != "" {
@@ -210,9 +211,14 @@
 func (n *node) leave() {
 	began := n.clock.Now()
 	n.leaving.Store(true)
-	n.owner.Resign()
 	n.ingress.Leave()
 	n.logger.Info("node leaves")
+	if n.owner.Owning() {
+		if err := n.candidate.HandOver(context.Background(), n.owner.Epoch(), n.owner.Owning); err != nil {
+			n.logger.WithError(err).Warn("cell was not handed over")
+		}
+	}
+	n.owner.Resign()
 	for {
 		elapsed := n.clock.Now() - began
 		if elapsed > n.settings.Bounds.Shutdown()-exitMargin || elapsed > lingerTime && n.ingress.Idle() {
--- a/internal/app/node/peers.go
+++ b/internal/app/node/peers.go
@@ -120,6 +120,32 @@
 	return answer != nil && !answer.GetServing()
 }
 
+// Successors implements tenure.Peers.
+func (n *node) Successors() []string { return n.replica.Youngest(n.settings.Node) }
+
+// Fit implements tenure.Peers.
+func (n *node) Fit(ctx context.Context, node string) bool {
+	member, _ := n.replica.Member(node)
+	reply, err := n.calls.Call(ctx, member.Address, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{}}})
+	return err == nil && reply.GetOwnerReply().GetFit()
+}
+
+// Tell implements tenure.Peers.
+func (n *node) Tell(ctx context.Context, node string, epoch uint64, owner string) error {
+	member, known := n.replica.Member(node)
+	if !known {
+		return port.NotStarted.New("address of %s is not known", node)
+	}
+	reply, err := n.calls.Call(ctx, member.Address, &peerpb.Request{Body: &peerpb.Request_OwnerChange{OwnerChange: &peerpb.OwnerChange{Epoch: epoch, Node: owner}}})
+	if err != nil {
+		return err
+	}
+	if refusal := reply.GetAck().GetRefusal(); refusal != nil {
+		return errs.New("%s", refusal.GetDetail())
+	}
+	return nil
+}
+
 // relayTries is the number of nodes that are asked to pass a call on.
 const relayTries = 2
 
@@ -137,7 +163,16 @@
 // Serve implements port.PeerHandler.
 func (n *node) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
 	if query := request.GetOwnerQuery(); query != nil {
-		return &peerpb.Response{Body: &peerpb.Response_OwnerReply{OwnerReply: &peerpb.OwnerReply{Serving: n.owner.Serving(query.GetEpoch())}}}
+		return &peerpb.Response{Body: &peerpb.Response_OwnerReply{OwnerReply: &peerpb.OwnerReply{
+			Serving: n.owner.Serving(query.GetEpoch()), Fit: n.candidate.Fit(),
+		}}}
+	}
+	if change := request.GetOwnerChange(); change != nil {
+		ack := &peerpb.Ack{}
+		if err := n.candidate.Told(change.GetEpoch(), change.GetNode()); err != nil {
+			ack.Refusal = &peerpb.Refusal{Reason: peerpb.Refusal_UNAVAILABLE, Detail: err.Error()}
+		}
+		return &peerpb.Response{Body: &peerpb.Response_Ack{Ack: ack}}
 	}
 	if call := request.GetStoreCall(); call != nil {
 		return n.passOn(ctx, call)
--- a/internal/app/replica/replica.go
+++ b/internal/app/replica/replica.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -260,6 +261,31 @@
 	return member, known
 }
 
+// ExpectOwner takes word of an owner whose first sign has not been read.
+func (r *Replica) ExpectOwner(epoch uint64, node string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if epoch > r.owner.Epoch {
+		r.owner = OwnerSign{Epoch: epoch, Node: node, At: r.clock.Now(), Gap: r.owner.Gap}
+	}
+}
+
+// Youngest returns the other nodes, the last started first.
+func (r *Replica) Youngest(node string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	others := make([]string, 0, len(r.members))
+	for name := range r.members {
+		if name != node {
+			others = append(others, name)
+		}
+	}
+	slices.SortFunc(others, func(a, b string) int {
+		return cmp.Or(r.members[b].Started.Compare(r.members[a].Started), cmp.Compare(a, b))
+	})
+	return others
+}
+
 // Younger returns the number of other nodes that have started later.
 func (r *Replica) Younger(node string) int {
 	r.mu.Lock()
--- a/internal/app/tenure/tenure.go
+++ b/internal/app/tenure/tenure.go
@@ -46,8 +46,7 @@
 
 // Candidate claims the cell when its owner is silent.
 type Candidate struct {
-	Node    string
-	Address string
+	Node string
 	// Handicap returns how long the node leaves a claim to better placed ones.
 	Handicap func() time.Duration
 	Log      port.KeyedLog
@@ -60,7 +59,11 @@
 	Leaving func() bool
 	// Gone asks a node whether it has given up the cell or no longer runs; a
 	// node that does not answer is not gone.
-	Gone func(ctx context.Context, sign replica.OwnerSign) bool
+	Gone  func(ctx context.Context, sign replica.OwnerSign) bool
+	Peers Peers
+	// Offers holds an epoch that another node has claimed for this one; its
+	// capacity is 1.
+	Offers chan uint64
 
 	// contested is the silent owner's epoch to which another claim was found.
 	contested uint64
@@ -74,7 +77,10 @@
 	started := c.Clock.Now()
 	for ctx.Err() == nil {
 		if !c.ownerSilent(started) && !c.ownerGone(ctx) || c.Leaving() {
-			pause.Sleep(ctx, checkInterval)
+			if epoch, ok := c.offered(ctx); ok {
+				c.serve(ctx, epoch)
+				started = c.Clock.Now()
+			}
 			continue
 		}
 		silent := c.Replica.Owner().Epoch
@@ -88,14 +94,21 @@
 			pause.Sleep(ctx, checkInterval+rand.N(spread))
 			continue
 		}
-		metrics.GetOrCreateCounter("balsam_owner_claims_total").Inc()
-		c.Logger.WithFields(logrus.Fields{"epoch": epoch, "silent_owner": c.Replica.Owner().Node, "silent_ms": (c.Clock.Now() - c.Replica.Owner().At).Milliseconds()}).Info("cell claimed")
-		err = c.Owner.Serve(ctx, epoch)
-		c.Logger.WithField("epoch", epoch).WithError(err).Warn("cell given up")
+		c.serve(ctx, epoch)
 		started = c.Clock.Now()
 	}
 }
 
+// serve does the owner's work until another node owns the cell.
+func (c *Candidate) serve(ctx context.Context, epoch uint64) {
+	former := c.Replica.Owner()
+	metrics.GetOrCreateCounter("balsam_owner_claims_total").Inc()
+	c.Logger.WithFields(logrus.Fields{"epoch": epoch, "former_owner": former.Node, "silent_ms": (c.Clock.Now() - former.At).Milliseconds()}).Info("cell claimed")
+	c.announce(ctx, epoch)
+	err := c.Owner.Serve(ctx, epoch)
+	c.Logger.WithField("epoch", epoch).WithError(err).Warn("cell given up")
+}
+
 // ownerSilent reports whether a read that was sent long enough after the
 // owner's last sign brought no newer one.
 func (c *Candidate) ownerSilent(started time.Duration) bool {
@@ -133,10 +146,6 @@
 // the epoch of the owner that was found silent; its claim is the topic's last
 // record unless another node has claimed since.
 func (c *Candidate) claim(ctx context.Context, silent uint64) (uint64, error) {
-	value, err := proto.Marshal(&logpb.OwnerClaim{Node: c.Node, Address: c.Address})
-	if err != nil {
-		return 0, errs.Wrap(err)
-	}
 	end := silent
 	if silent == 0 || c.contested == silent {
 		newest, before, err := c.newest(ctx)
@@ -148,14 +157,25 @@
 		}
 		end = newest
 	}
+	epoch, err := c.claimFor(ctx, c.Node, end)
+	if port.Conflict.Has(err) {
+		c.contested = silent
+	}
+	return epoch, err
+}
+
+// claimFor appends a claim of a node if the owners' topic ends at the offset. It
+// returns the claim's epoch.
+func (c *Candidate) claimFor(ctx context.Context, node string, end uint64) (uint64, error) {
+	value, err := proto.Marshal(&logpb.OwnerClaim{Node: node})
+	if err != nil {
+		return 0, errs.Wrap(err)
+	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	offset, err := c.Log.Append(callCtx, replica.OwnerTopic,
 		[]port.KeyedRecord{{Key: claimKey, Value: value}}, port.AppendOptions{EndsAt: &end})
 	if err != nil {
-		if port.Conflict.Has(err) {
-			c.contested = silent
-		}
 		return 0, err
 	}
 	return offset + 1, nil
