Refuse jobs that can never run at once

Cause: a job with a task larger than every worker, or a task or gang beyond its team's limit, was accepted and waited for ever.

Ruled out: checking at each node, which would need the VM list of all workers at all nodes; the owner has it.

Nothing was written, so the refusal is true. A record that was appended without an owner is not checked.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -371,6 +371,25 @@
 	})
 }
 
+func TestAJobThatCanNeverRunIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 3, 6)
+		time.Sleep(3 * time.Second)
+		for i := range 3 { // at the owner and at the other nodes
+			spec := dispatch.JobSpec{Team: "a", Queue: cellQueue, Payload: "p", Steps: []dispatch.StepSpec{{
+				Tasks: 1, Estimate: time.Second, Size: model.Resources{MilliCPU: 12001, MemoryMiB: 100}, // team a's limit and one
+			}}}
+			id := c.expect(i, spec, time.Second)
+			began := time.Now()
+			assert.Equal(t, intake.Impossible, c.node(i).service.Submit(t.Context(), id, spec))
+			assert.Less(t, time.Since(began), 50*time.Millisecond)
+			state, outcome := c.node(i).service.State(id)
+			assert.Equal(t, intake.NoJob, outcome, state)
+		}
+		c.close()
+	})
+}
+
 func TestAPlannedStopHardlyHoldsUpJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const answer = 300 * time.Millisecond
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -40,9 +41,8 @@
 // round makes one round of decisions durable. An error ends the tenure.
 func (t *tenure) round(ctx context.Context) error {
 	now := t.Clock.Now()
-	wishes := t.takeWishes()
 	t.mu.Lock()
-	t.admit(wishes)
+	wishes := t.admit(t.takeWishes())
 	t.engine.Schedule(now, t.Clock.Wall())
 	batch := t.engine.Take()
 	stops := t.engine.TakeStops()
@@ -96,21 +96,28 @@
 
 // admit hands the jobs that the next append stores to the engine, so that the
 // same append can hold their placements. Nothing is ordered before it is
-// durable, and without it the tenure ends. The caller holds mu.
-func (t *tenure) admit(wishes []*wish) {
+// durable, and without it the tenure ends. It refuses the jobs that can't ever
+// run and returns the other wishes. The caller holds mu.
+func (t *tenure) admit(wishes []*wish) []*wish {
 	wall := t.Clock.Wall()
-	for _, wish := range wishes {
+	return slices.DeleteFunc(wishes, func(wish *wish) bool {
 		for _, record := range wish.records {
 			id, submission, ok := replica.Submitted(record)
 			if !ok {
 				continue
 			}
-			if _, known := t.Replica.State(id); known {
+			if _, known := t.Replica.State(id); known || t.engine.Known(id) {
 				continue // it came again
 			}
-			t.engine.AddJob(id, replica.Spec(submission), wall)
+			spec := replica.Spec(submission)
+			if reason := t.engine.NeverFits(spec); reason != "" {
+				wish.done <- port.NotStarted.Wrap(port.NeverFits.New("%s", reason))
+				return true
+			}
+			t.engine.AddJob(id, spec, wall)
 		}
-	}
+		return false
+	})
 }
 
 func (t *tenure) records(batch *dispatch.Batch, stale []model.JobID, now time.Duration, leaving bool) ([]port.KeyedRecord, error) {
--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -32,11 +32,12 @@
 	NoRoute             // nothing is configured there
 	NoJob               // no such job
 	Invalid             // the call can't be read
+	Impossible          // larger than any worker or than the team's limit
 )
 
 // String returns the outcome's name in metrics.
 func (o Outcome) String() string {
-	return [...]string{"accepted", "unavailable", "unknown", "no_key", "no_route", "no_job", "invalid"}[o]
+	return [...]string{"accepted", "unavailable", "unknown", "no_key", "no_route", "no_job", "invalid", "impossible"}[o]
 }
 
 const (
@@ -161,6 +162,10 @@
 	for {
 		doubt, err := s.forward(ctx, record, began)
 		unknown = unknown || doubt
+		if port.NeverFits.Has(err) && !unknown {
+			s.Logger.WithError(err).WithField("job", id).Info("job can't ever run")
+			return Impossible
+		}
 		if err != nil {
 			err = s.direct.append(ctx, s.Replica.MemberCount(), record)
 			unknown = unknown || err != nil && !port.Refused.Has(err) && !port.NotStarted.Has(err)
@@ -206,6 +211,8 @@
 		s.Logger.WithFields(fields).Info(what + " accepted")
 	case Unknown:
 		s.Logger.WithFields(fields).Warn(what + " has an unknown outcome: the log did not answer")
+	case Impossible:
+		s.Logger.WithFields(fields).Warn(what + " refused: it is larger than any worker or than its team's limit")
 	default:
 		s.Logger.WithFields(fields).Warn(what + " refused: the log took no record")
 	}
--- a/internal/app/node/peers.go
+++ b/internal/app/node/peers.go
@@ -40,6 +40,8 @@
 	switch refusal.GetReason() {
 	case peerpb.Refusal_NOT_OWNER:
 		return port.NotStarted.Wrap(port.NoOwner.New("%s", refusal.GetDetail()))
+	case peerpb.Refusal_NEVER_FITS:
+		return port.NotStarted.Wrap(port.NeverFits.New("%s", refusal.GetDetail()))
 	case peerpb.Refusal_LOG_UNAVAILABLE:
 		return port.NotStarted.New("%s", refusal.GetDetail())
 	}
@@ -59,6 +61,8 @@
 	switch {
 	case err == nil:
 		return &peerpb.Ack{}
+	case port.NeverFits.Has(err):
+		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_NEVER_FITS, Detail: err.Error()}}
 	case port.NotStarted.Has(err) && !port.NoOwner.Has(err):
 		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_LOG_UNAVAILABLE, Detail: err.Error()}}
 	case port.NotStarted.Has(err):
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -269,9 +269,11 @@
 	return best
 }
 
-func withinLimit(t *team, more model.Resources) bool {
+func withinLimit(t *team, more model.Resources) bool { return t.allows(t.used.Add(more)) }
+
+// allows reports whether the team may have so much running.
+func (t *team) allows(next model.Resources) bool {
 	limit := t.policy.Limit
-	next := t.used.Add(more)
 	return (limit.MilliCPU == 0 || next.MilliCPU <= limit.MilliCPU) &&
 		(limit.MemoryMiB == 0 || next.MemoryMiB <= limit.MemoryMiB) &&
 		(limit.Accelerators == 0 || next.Accelerators <= limit.Accelerators)
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -60,6 +60,7 @@
 			info.Life = w.life // the entry is older than the worker's own word
 		}
 		w.info, w.listed = info, true
+		e.profiles[profileOf(info)] = struct{}{}
 	}
 	for id, w := range e.workers {
 		if named[id] {
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -159,7 +159,9 @@
 	domains  map[model.FailureDomain]bool // out of service
 
 	workers map[model.VMID]*worker
-	jobs    map[model.JobID]*job
+	// profiles holds the kinds of workers that have been listed.
+	profiles map[profile]struct{}
+	jobs     map[model.JobID]*job
 	// forgotten and forgottenBefore hold the jobs that were forgotten, in two generations.
 	forgotten       map[model.JobID]bool
 	forgottenBefore map[model.JobID]bool
@@ -211,6 +213,7 @@
 		teams:     map[string]*team{},
 		domains:   map[model.FailureDomain]bool{},
 		workers:   map[model.VMID]*worker{},
+		profiles:  map[profile]struct{}{},
 		jobs:      map[model.JobID]*job{},
 		claims:    map[*team]model.Resources{},
 		forgotten: map[model.JobID]bool{},
--- a/internal/port/celllog.go
+++ b/internal/port/celllog.go
@@ -19,6 +19,9 @@
 	// NoOwner tells that a record did not reach the cell's owner, or that there
 	// is none; the next one will take it.
 	NoOwner = errs.Class("no owner")
+	// NeverFits tells that a job is larger than any worker or than its team's
+	// limit.
+	NeverFits = errs.Class("never fits")
 	// Truncated tells that records at the offset are no longer kept.
 	Truncated = errs.Class("log is truncated")
 )
