Sample ordinary log lines beyond 3 % of the VM's processor time

Cause: the buffer bounded the bytes that wait but not the processor time: each line costs 6.8 µs (BenchmarkLine, 8.7 µs beside other work), and a small VM of 0.19 cores could spend a tenth of its time on lines under load.

Ruled out: the writer (one write each 100 ms).

Change: lines below warning keep a sample per kind, at most what 3 % of the VM's processor time pays for in one second and a quarter of that in the long run; the line on what was left out names the kind and the reason.

Test: TestAKindThatFloodsTheLogIsSampled (all 20,000 were kept before).

--- a/cmd/balsam-node/main.go
+++ b/cmd/balsam-node/main.go
@@ -26,7 +26,7 @@
 }
 
 func run(ctx context.Context, settings platform.Settings) error {
-	logger, sink := logsink.New(os.Stdout)
+	logger, sink := logsink.New(os.Stdout, settings.VM.Processors())
 	defer sink.Close(flushTime)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
--- a/internal/app/logsink/logsink.go
+++ b/internal/app/logsink/logsink.go
@@ -1,7 +1,8 @@
 // Package logsink writes a process's log lines without ever holding back the
 // code that logs. Lines wait in a bounded buffer for a writer of their own.
-// When it fills up, ordinary lines are left out first; what was left out is
-// counted and said.
+// When it fills up, ordinary lines are left out first; when there are more of a
+// kind than the process may spend processor time on, a sample of them is kept.
+// What was left out is counted and said.
 package logsink
 
 import (
@@ -13,6 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -22,6 +24,13 @@
 	ordinaryShare = 0.5
 	// flushPause lets lines gather into one write.
 	flushPause = 100 * time.Millisecond
+	// processorShare is the part of the VM's processor time that lines may take.
+	processorShare = 0.03
+	// lineTime is the processor time of one line (BenchmarkLine).
+	lineTime = 7 * time.Microsecond
+	// kindShare is the part of all lines that ordinary lines of one kind may make
+	// up in the long run; for a second they may make up all.
+	kindShare = 0.25
 	// atomicWrite is the size up to which a write to a pipe is not mixed with
 	// those of other processes (PIPE_BUF on Linux).
 	atomicWrite = 4096
@@ -36,18 +45,35 @@
 	mu      sync.Mutex
 	buffer  []byte
 	spare   []byte
-	dropped map[logrus.Level]int
+	dropped map[omission]int
+	kinds   map[string]*rate.Limiter // by the message of ordinary lines
+	perKind float64                  // lines a second
 	closed  bool
 	wake    chan struct{}
 	done    chan struct{}
 }
 
-// New returns a logger whose JSON lines go to out through a Sink.
-func New(out io.Writer) (*logrus.Logger, *Sink) {
+// omission is what lines that were left out had in common.
+type omission struct {
+	level  logrus.Level
+	kind   string // empty if the buffer was full
+	reason string
+}
+
+const (
+	bufferFull = "buffer is full"
+	sampled    = "too many of a kind"
+)
+
+// New returns a logger whose JSON lines go to out through a Sink. cores is the
+// processor time that the VM has.
+func New(out io.Writer, cores float64) (*logrus.Logger, *Sink) {
 	s := &Sink{
 		format:  &logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"},
 		out:     out,
-		dropped: map[logrus.Level]int{},
+		dropped: map[omission]int{},
+		kinds:   map[string]*rate.Limiter{},
+		perKind: kindShare * processorShare * cores * float64(time.Second/lineTime),
 		wake:    make(chan struct{}, 1),
 		done:    make(chan struct{}),
 	}
@@ -60,6 +86,9 @@
 
 // Format implements logrus.Formatter. It returns no bytes.
 func (s *Sink) Format(entry *logrus.Entry) ([]byte, error) {
+	if entry.Level > logrus.WarnLevel && !s.keep(entry) {
+		return nil, nil
+	}
 	line, err := s.format.Format(entry)
 	if err != nil {
 		return nil, err
@@ -71,7 +100,7 @@
 		limit = int(bufferBytes * ordinaryShare)
 	}
 	if s.closed || len(s.buffer)+len(line) > limit {
-		s.dropped[entry.Level]++
+		s.dropped[omission{entry.Level, "", bufferFull}]++
 		metrics.GetOrCreateCounter(fmt.Sprintf(`balsam_log_lines_dropped_total{level=%q}`, entry.Level)).Inc()
 		return nil, nil
 	}
@@ -83,6 +112,23 @@
 	return nil, nil
 }
 
+// keep reports whether the line is part of the sample of its kind.
+func (s *Sink) keep(entry *logrus.Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kind, ok := s.kinds[entry.Message]
+	if !ok {
+		kind = rate.NewLimiter(rate.Limit(s.perKind), int(s.perKind/kindShare))
+		s.kinds[entry.Message] = kind
+	}
+	if kind.AllowN(entry.Time, 1) {
+		return true
+	}
+	s.dropped[omission{entry.Level, entry.Message, sampled}]++
+	metrics.GetOrCreateCounter(fmt.Sprintf(`balsam_log_lines_dropped_total{level=%q}`, entry.Level)).Inc()
+	return false
+}
+
 // Close writes what waits, for at most the given time.
 func (s *Sink) Close(within time.Duration) {
 	s.mu.Lock()
@@ -112,8 +158,9 @@
 	s.mu.Lock()
 	lines := s.buffer
 	s.buffer = s.spare[:0]
-	for level, count := range s.dropped {
-		lines = fmt.Appendf(lines, `{"level":"warning","msg":"log lines left out","dropped_level":%q,"count":%d}`+"\n", level, count)
+	for what, count := range s.dropped {
+		lines = fmt.Appendf(lines, `{"level":"warning","msg":"log lines left out","dropped_level":%q,"kind":%q,"reason":%q,"count":%d}`+"\n",
+			what.level, what.kind, what.reason, count)
 	}
 	clear(s.dropped)
 	s.mu.Unlock()
--- a/internal/app/logsink/logsink_test.go
+++ b/internal/app/logsink/logsink_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/assert"
 )
 
+const testCores = 0.4
+
 // stuckWriter takes nothing until it is released.
 type stuckWriter struct {
 	release chan struct{}
@@ -26,7 +28,7 @@
 
 func TestAReaderThatNeverReadsHoldsNothingBack(t *testing.T) {
 	out := &stuckWriter{release: make(chan struct{})}
-	logger, sink := New(out)
+	logger, sink := New(out, testCores)
 	detail := strings.Repeat("x", 1000)
 	began := time.Now()
 	for range 20_000 { // some 20 MB
@@ -50,8 +52,28 @@
 
 func TestLinesAreWrittenOnClose(t *testing.T) {
 	var out bytes.Buffer
-	logger, sink := New(&out)
+	logger, sink := New(&out, testCores)
 	logger.Info("node stops")
 	sink.Close(time.Second)
 	assert.Contains(t, out.String(), "node stops")
 }
+
+func TestAKindThatFloodsTheLogIsSampled(t *testing.T) {
+	var out bytes.Buffer
+	logger, sink := New(&out, testCores)
+	for range 20_000 {
+		logger.Info("run_placed")
+	}
+	logger.Info("cell claimed")
+	for range 3 {
+		logger.Warn("submission refused")
+	}
+	sink.Close(time.Second)
+	written := out.String()
+	// A second's worth of lines may come at once: 3 % of 0.4 cores at 7 µs a line.
+	kept := strings.Count(written, `"msg":"run_placed"`)
+	assert.InDelta(t, 1714, kept, 200)
+	assert.Contains(t, written, "cell claimed")
+	assert.Equal(t, 3, strings.Count(written, "submission refused"))
+	assert.Contains(t, written, `"kind":"run_placed","reason":"too many of a kind","count":`)
+}
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -197,7 +197,7 @@
 // have just started: a restart of all nodes in turn comes to them last.
 func (n *node) handicap() time.Duration {
 	delay := time.Duration(0)
-	if n.settings.VM.ProcessorShare*max(1, n.settings.VM.Cores) < lowShare {
+	if n.settings.VM.Processors() < lowShare {
 		delay += lowShareDelay
 	}
 	if n.replica.Owner().Resigned && n.replica.Younger(n.settings.Node) >= youngFirst {
