balsamctl check: node settings, templates of settings and the deploy file

Ruled out: rendering with the platform's own values, which only exist on the platform; sample values of the right kind find the same faults.

Change: balsamctl check --as node and --as deploy report all findings with file, line and key: missing programs and templates, shares out of range, sections without an end, values of the wrong kind, missing settings.

--- a/cmd/balsamctl/commands.go
+++ b/cmd/balsamctl/commands.go
@@ -98,7 +98,7 @@
 
 type checkCmd struct {
 	File string `arg:"" help:"File to check." type:"path"`
-	As   string `help:"What the file holds: ${enum}." enum:"templates,sched,entry,ctl" default:"templates"`
+	As   string `help:"What the file holds: ${enum}." enum:"templates,sched,entry,ctl,node,deploy" default:"templates"`
 }
 
 // Run checks the file.
--- a/internal/app/ctl/template.go
+++ b/internal/app/ctl/template.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"path/filepath"
 	"reflect"
 	"strconv"
 	"strings"
@@ -9,6 +10,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/adapter/settings"
 	"github.com/balsamhitch/balsamhitch/internal/core/config"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
+	"github.com/balsamhitch/balsamhitch/platform"
 )
 
 // ApplyTemplates publishes the templates of a file that differ from the
@@ -135,6 +137,10 @@
 func (c *Client) CheckFile(path, kind string) error {
 	var err error
 	switch kind {
+	case "node":
+		_, err = platform.LoadSettings(path)
+	case "deploy":
+		err = platform.CheckDeployment(path, filepath.Dir(filepath.Dir(path)))
 	case "sched":
 		_, err = settings.LoadSched(path)
 	case "entry":
