--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -36,8 +36,8 @@
 	// followerPace is the least time between two reads of a node that is not the
 	// owner; callers see a job's end that much later.
 	followerPace = 100 * time.Millisecond
-	ownerPace     = 4 * time.Millisecond
-	policyPace    = 20 * time.Millisecond
+	ownerPace    = 4 * time.Millisecond
+	policyPace   = 20 * time.Millisecond
 	// announceInterval is how often a node checks that its address is known.
 	announceInterval = 2 * time.Second
 	// lowShare is the processor share of a VM that lets the others claim first.
