Tasks that last need no headroom; bound the search for a successor

Cause: found on reading the change again: serving tasks of the queue that goes first counted as urgent use, so that on workers filled to four fifths with them nothing of another queue would ever have been placed; a leaving owner asked every known node in turn, up to 200 ms each, which a cell of many dead nodes stretches beyond the time until it is killed.

Ruled out: starvation below half load: the headroom is at most a quarter of the use there, and a past peak is down to 0.44 of itself after 3 s.

Change: tasks that last take no headroom and need none; at most five nodes are asked.

Test: TestTasksThatLastTakeNoHeadroom (failed before).

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -273,6 +273,13 @@
 	return id
 }
 
+// smallSpec is a job of one small task.
+func smallSpec() dispatch.JobSpec {
+	return dispatch.JobSpec{Team: "b", Queue: cellQueue, Payload: "p", Steps: []dispatch.StepSpec{{
+		Tasks: 1, Estimate: time.Second, Size: model.Resources{MilliCPU: 500, MemoryMiB: 100},
+	}}}
+}
+
 func (c *cell) randomSpec() (dispatch.JobSpec, time.Duration) {
 	spec := dispatch.JobSpec{Team: []string{"a", "b"}[c.rng.IntN(2)]}
 	for i := range 1 + c.rng.IntN(3) {
@@ -338,10 +345,7 @@
 		load := func(from, to int) { // 30 jobs a second
 			for i := from; i < to; i++ {
 				clients.Go(func() {
-					spec := dispatch.JobSpec{Team: "b", Queue: cellQueue, Payload: "p", Steps: []dispatch.StepSpec{{
-						Tasks: 1, Estimate: time.Second, Size: model.Resources{MilliCPU: 500, MemoryMiB: 100},
-					}}}
-					accepted[i].Store(c.submitOnce(i, spec, time.Second))
+					accepted[i].Store(c.submitOnce(i, smallSpec(), time.Second))
 				})
 				time.Sleep(33 * time.Millisecond)
 			}
@@ -405,10 +409,7 @@
 		for i := range handedIn { // 10 jobs a second
 			handedIn[i] = time.Now()
 			clients.Go(func() {
-				spec := dispatch.JobSpec{Team: "b", Queue: cellQueue, Payload: "p", Steps: []dispatch.StepSpec{{
-					Tasks: 1, Estimate: time.Second, Size: model.Resources{MilliCPU: 500, MemoryMiB: 100},
-				}}}
-				assert.True(t, c.submitOnce(i, spec, time.Second), "job %d", i)
+				assert.True(t, c.submitOnce(i, smallSpec(), time.Second), "job %d", i)
 			})
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -436,9 +437,7 @@
 		time.Sleep(3 * time.Second)
 		c.setLog(func(l *memLog) { l.delay = answer })
 		time.Sleep(2 * time.Second)
-		spec := dispatch.JobSpec{Team: "b", Queue: cellQueue, Payload: "p", Steps: []dispatch.StepSpec{{
-			Tasks: 1, Estimate: time.Second, Size: model.Resources{MilliCPU: 500, MemoryMiB: 100},
-		}}}
+		spec := smallSpec()
 		for i := range 5 {
 			handedIn := time.Now()
 			require.True(t, c.submitOnce(i, spec, time.Second))
--- a/internal/app/intake/writer.go
+++ b/internal/app/intake/writer.go
@@ -98,6 +98,7 @@
 		began := w.clock.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), appendTime)
 		_, err := w.log.Append(ctx, replica.CellTopic, records, port.AppendOptions{})
+		cancel()
 		for _, p := range batch {
 			p.done <- err
 		}
@@ -105,7 +106,6 @@
 		if err != nil && w.clock.Now()-w.tail.Fresh() > downAfter {
 			gap = downPause
 		}
-		cancel()
 		time.Sleep(gap)
 	}
 }
--- a/internal/app/tenure/handover.go
+++ b/internal/app/tenure/handover.go
@@ -13,6 +13,8 @@
 	// offerTime bounds the call that tells a node of a new owner; nodes answer
 	// each other within milliseconds.
 	offerTime = 200 * time.Millisecond
+	// successorTries bounds the nodes that are asked, and so the time of a stop.
+	successorTries = 5
 	// fenceTime bounds the wait for the successor's first append, which fences
 	// this node: two calls of a slow log.
 	fenceTime  = time.Second
@@ -96,7 +98,8 @@
 }
 
 func (c *Candidate) successor(ctx context.Context) string {
-	for _, node := range c.Peers.Successors() {
+	nodes := c.Peers.Successors()
+	for _, node := range nodes[:min(len(nodes), successorTries)] {
 		callCtx, cancel := context.WithTimeout(ctx, offerTime)
 		fit := c.Peers.Fit(callCtx, node)
 		cancel()
--- a/internal/core/dispatch/headroom.go
+++ b/internal/core/dispatch/headroom.go
@@ -42,9 +42,10 @@
 	}
 }
 
-// headroom returns what the step must leave free for more urgent ones.
+// headroom returns what the step must leave free for more urgent ones. Tasks
+// that last take none and need none: they come and go with no burst.
 func (e *Engine) headroom(s *step) model.Resources {
-	if e.isUrgent(s) {
+	if e.isUrgent(s) || s.spec.LongRunning {
 		return model.Resources{}
 	}
 	return e.urgent.headroom()
--- a/internal/core/dispatch/load_test.go
+++ b/internal/core/dispatch/load_test.go
@@ -202,6 +202,24 @@
 	assert.NotContains(t, b.began, model.JobID("chain"))
 }
 
+func TestTasksThatLastTakeNoHeadroom(t *testing.T) {
+	b := newBurst(t, 8, []Queue{urgentQueue, batchQueue}, []Team{{Name: "a"}, {Name: "b"}})
+	serving := wideStep(52, 4000) // of the 64 that the workers hold
+	serving.LongRunning = true
+	b.submit("serving", "a", urgentQueue, serving)
+	b.step()
+	b.keepRunning("serving")
+	b.submit("batch", "b", batchQueue, wideStep(12, 4000))
+	at := b.now
+	b.step()
+	assert.Equal(t, at, b.began["batch"], "the rest is free for batch work")
+	count := 0
+	for _, orders := range b.running {
+		count += len(orders)
+	}
+	assert.Equal(t, 64, count)
+}
+
 func TestABurstOfUrgentJobsFindsRoomAmongBatchWork(t *testing.T) {
 	b := newBurst(t, 8, []Queue{urgentQueue, batchQueue}, []Team{{Name: "a"}, {Name: "b"}})
 	for i := range 40 { // batch work of 10 s, twice what the workers hold
--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -154,6 +154,7 @@
 		cmp.Compare(a.number, b.number), cmp.Compare(s.step.index, other.step.index))
 }
 
+// order lines up the ready steps for a pass.
 func (e *Engine) order(wall time.Time) *lineup {
 	l := &lineup{}
 	active := map[*team]bool{}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -24,7 +24,7 @@
 	w.tasks[t.name()] = t
 	owner := e.team(t.step.occurrence.job.spec.Team)
 	owner.used = owner.used.Add(t.step.spec.Size)
-	if t.urgent = e.isUrgent(t.step); t.urgent {
+	if t.urgent = e.isUrgent(t.step) && !t.step.spec.LongRunning; t.urgent {
 		e.urgent.now = e.urgent.now.Add(t.step.spec.footprint())
 	}
 }
