Call what stands already: shares, requests, node calls, the ports' clock

Found on reading the whole change once more; no behaviour changes.

Two tests had a clock of their own beside porttest's, three built a cell with a slow log.

--- a/internal/adapter/httpcall/httpcall.go
+++ b/internal/adapter/httpcall/httpcall.go
@@ -114,7 +114,7 @@
 
 // JSON sends in as JSON and decodes the answer into out; either may be nil.
 func (c *Caller) JSON(ctx context.Context, method, url string, in, out any) error {
-	request, err := jsonRequest(method, url, in)
+	request, err := NewRequest(method, url, in)
 	if err != nil {
 		return port.NotStarted.Wrap(err)
 	}
@@ -143,7 +143,8 @@
 	return Error.New("%s", detail)
 }
 
-func jsonRequest(method, url string, in any) (*http.Request, error) {
+// NewRequest returns a request with in as its JSON body; in may be nil.
+func NewRequest(method, url string, in any) (*http.Request, error) {
 	var body io.Reader
 	if in != nil {
 		data, err := json.Marshal(in)
--- a/internal/app/advice/pool_test.go
+++ b/internal/app/advice/pool_test.go
@@ -12,13 +12,9 @@
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
+	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
 )
 
-type bubbleClock struct{ start time.Time }
-
-func (c bubbleClock) Now() time.Duration { return time.Since(c.start) + time.Hour }
-func (c bubbleClock) Wall() time.Time    { return time.Now() }
-
 // helpers answers in the name of the nodes; those that are silent never do.
 type helpers struct {
 	takes  time.Duration
@@ -50,7 +46,7 @@
 		const takes = 12 * time.Millisecond
 		nodes := &helpers{takes: takes, silent: map[string]bool{"b": true}, asked: map[string]int{}}
 		p := &Pool{
-			Node: "self", Local: busyAdvisor{takes}, Peers: nodes, Clock: bubbleClock{time.Now()},
+			Node: "self", Local: busyAdvisor{takes}, Peers: nodes, Clock: porttest.NewClock(nil, time.Hour, 0),
 			Members: func() map[string]string { return map[string]string{"a": "a", "b": "b", "c": "c"} },
 		}
 		slow, longest := 0, time.Duration(0)
--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -28,14 +28,9 @@
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/policy"
 	"github.com/balsamhitch/balsamhitch/internal/port"
+	"github.com/balsamhitch/balsamhitch/internal/port/porttest"
 )
 
-// bubbleClock reads the virtual time of a synctest bubble.
-type bubbleClock struct{ start time.Time }
-
-func (c bubbleClock) Now() time.Duration { return time.Since(c.start) + time.Hour }
-func (c bubbleClock) Wall() time.Time    { return time.Now() }
-
 // cellNode is one node's parts, as balsam-node puts them together.
 type cellNode struct {
 	name      string
@@ -55,7 +50,7 @@
 	log    *memLog
 	fleet  *fleet
 	policy *policy.Holder
-	clock  bubbleClock
+	clock  *porttest.Clock
 	nodes  []atomic.Pointer[cellNode] // a restart replaces one while clients use the others
 	jobs   []model.JobID
 	pool   *ants.Pool
@@ -67,7 +62,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	c := &cell{
 		t: t, rng: rng, log: newMemLog(rand.New(rand.NewPCG(seed, 1))), fleet: newFleet(rand.New(rand.NewPCG(seed, 2)), workers),
-		policy: &policy.Holder{}, clock: bubbleClock{time.Now()},
+		policy: &policy.Holder{}, clock: porttest.NewClock(nil, time.Hour, 0),
 	}
 	pool, err := ants.NewPool(64)
 	require.NoError(t, err)
@@ -86,6 +81,16 @@
 	return c
 }
 
+// newSlowCell returns a cell whose log has become slow: each answer takes delay,
+// and each append keeps its topic from the next for busy.
+func newSlowCell(t *testing.T, nodes, workers int, delay, busy time.Duration) *cell {
+	c := newCell(t, 1, nodes, workers)
+	time.Sleep(3 * time.Second)
+	c.setLog(func(l *memLog) { l.delay, l.busy = delay, busy })
+	time.Sleep(2 * time.Second)
+	return c
+}
+
 func (c *cell) startNode(name string) *cellNode {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -334,10 +339,7 @@
 
 func TestACellWithASlowLogSoonHasANewOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCell(t, 1, 7, 24)
-		time.Sleep(3 * time.Second)
-		c.setLog(func(l *memLog) { l.delay, l.busy = 300*time.Millisecond, 150*time.Millisecond })
-		time.Sleep(2 * time.Second)
+		c := newSlowCell(t, 7, 24, 300*time.Millisecond, 150*time.Millisecond)
 		former := c.owner()
 		require.GreaterOrEqual(t, former, 0)
 		var clients sync.WaitGroup
@@ -397,10 +399,7 @@
 func TestAPlannedStopHardlyHoldsUpJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const answer = 300 * time.Millisecond
-		c := newCell(t, 1, 5, 24)
-		time.Sleep(3 * time.Second)
-		c.setLog(func(l *memLog) { l.delay = answer })
-		time.Sleep(2 * time.Second)
+		c := newSlowCell(t, 5, 24, answer, 0)
 		former := c.owner()
 		require.GreaterOrEqual(t, former, 0)
 		var clients sync.WaitGroup
@@ -433,10 +432,7 @@
 func TestAJobIsPlacedWithTheAppendThatStoresIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const answer = 300 * time.Millisecond
-		c := newCell(t, 1, 3, 6)
-		time.Sleep(3 * time.Second)
-		c.setLog(func(l *memLog) { l.delay = answer })
-		time.Sleep(2 * time.Second)
+		c := newSlowCell(t, 3, 6, answer, 0)
 		spec := smallSpec()
 		for i := range 5 {
 			handedIn := time.Now()
--- a/internal/app/logsink/logsink.go
+++ b/internal/app/logsink/logsink.go
@@ -100,8 +100,7 @@
 		limit = int(bufferBytes * ordinaryShare)
 	}
 	if s.closed || len(s.buffer)+len(line) > limit {
-		s.dropped[omission{entry.Level, "", bufferFull}]++
-		metrics.GetOrCreateCounter(fmt.Sprintf(`balsam_log_lines_dropped_total{level=%q}`, entry.Level)).Inc()
+		s.leaveOut(omission{entry.Level, "", bufferFull})
 		return nil, nil
 	}
 	s.buffer = append(s.buffer, line...)
@@ -124,11 +123,16 @@
 	if kind.AllowN(entry.Time, 1) {
 		return true
 	}
-	s.dropped[omission{entry.Level, entry.Message, sampled}]++
-	metrics.GetOrCreateCounter(fmt.Sprintf(`balsam_log_lines_dropped_total{level=%q}`, entry.Level)).Inc()
+	s.leaveOut(omission{entry.Level, entry.Message, sampled})
 	return false
 }
 
+// leaveOut counts a line that is not written. The caller holds mu.
+func (s *Sink) leaveOut(what omission) {
+	s.dropped[what]++
+	metrics.GetOrCreateCounter(fmt.Sprintf(`balsam_log_lines_dropped_total{level=%q}`, what.level)).Inc()
+}
+
 // Close writes what waits, for at most the given time.
 func (s *Sink) Close(within time.Duration) {
 	s.mu.Lock()
--- a/internal/app/node/peers.go
+++ b/internal/app/node/peers.go
@@ -23,11 +23,10 @@
 		return n.owner.Append(ctx, []port.KeyedRecord{record})
 	}
 	owner := n.replica.Owner()
-	member, known := n.replica.Member(owner.Node)
-	if !known || owner.Resigned || owner.Node == n.settings.Node {
+	if owner.Resigned || owner.Node == n.settings.Node {
 		return port.NotStarted.Wrap(port.NoOwner.New("the cell's owner is not known"))
 	}
-	reply, err := n.calls.Call(ctx, member.Address, &peerpb.Request{Body: &peerpb.Request_KeepRecords{KeepRecords: &peerpb.KeepRecords{
+	reply, err := n.call(ctx, owner.Node, &peerpb.Request{Body: &peerpb.Request_KeepRecords{KeepRecords: &peerpb.KeepRecords{
 		Records: []*peerpb.KeepRecords_Record{{Key: record.Key, Value: record.Value}},
 	}}})
 	if port.NotStarted.Has(err) {
@@ -51,6 +50,16 @@
 	return nil
 }
 
+// call asks the node of that name. An error of type NotStarted proves that it
+// was not asked.
+func (n *node) call(ctx context.Context, node string, request *peerpb.Request) (*peerpb.Response, error) {
+	member, known := n.replica.Member(node)
+	if !known {
+		return nil, port.NotStarted.New("address of %s is not known", node)
+	}
+	return n.calls.Call(ctx, member.Address, request)
+}
+
 // keep makes another node's records durable.
 func (n *node) keep(ctx context.Context, message *peerpb.KeepRecords) *peerpb.Ack {
 	records := make([]port.KeyedRecord, 0, len(message.GetRecords()))
@@ -112,11 +121,7 @@
 // ownerGone asks the owner whether it still serves. A node that refuses
 // connections has no process any more.
 func (n *node) ownerGone(ctx context.Context, owner replica.OwnerSign) bool {
-	member, known := n.replica.Member(owner.Node)
-	if !known {
-		return false
-	}
-	reply, err := n.calls.Call(ctx, member.Address, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{Epoch: owner.Epoch}}})
+	reply, err := n.call(ctx, owner.Node, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{Epoch: owner.Epoch}}})
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -129,18 +134,13 @@
 
 // Fit implements tenure.Peers.
 func (n *node) Fit(ctx context.Context, node string) bool {
-	member, _ := n.replica.Member(node)
-	reply, err := n.calls.Call(ctx, member.Address, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{}}})
+	reply, err := n.call(ctx, node, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{}}})
 	return err == nil && reply.GetOwnerReply().GetFit()
 }
 
 // Tell implements tenure.Peers.
 func (n *node) Tell(ctx context.Context, node string, epoch uint64, owner string) error {
-	member, known := n.replica.Member(node)
-	if !known {
-		return port.NotStarted.New("address of %s is not known", node)
-	}
-	reply, err := n.calls.Call(ctx, member.Address, &peerpb.Request{Body: &peerpb.Request_OwnerChange{OwnerChange: &peerpb.OwnerChange{Epoch: epoch, Node: owner}}})
+	reply, err := n.call(ctx, node, &peerpb.Request{Body: &peerpb.Request_OwnerChange{OwnerChange: &peerpb.OwnerChange{Epoch: epoch, Node: owner}}})
 	if err != nil {
 		return err
 	}
--- a/internal/core/dispatch/admit.go
+++ b/internal/core/dispatch/admit.go
@@ -20,6 +20,11 @@
 	return profile{service: info.Service, capacity: info.Capacity, labels: strings.Join(labels, "\n") + "\n"}
 }
 
+// sameKind reports whether the worker was listed with the same profile before.
+func (w *worker) sameKind(info WorkerInfo) bool {
+	return w.info.Service == info.Service && w.info.Capacity == info.Capacity && slices.Equal(w.info.Labels, info.Labels)
+}
+
 func (p *profile) has(label string) bool {
 	return label == "" || strings.HasPrefix(p.labels, label+"\n") || strings.Contains(p.labels, "\n"+label+"\n")
 }
--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -145,7 +145,7 @@
 // beyondShare reports whether the team has more running than its weight gives
 // it among the teams that want or have something.
 func (l *lineup) beyondShare(t *team) bool {
-	return dominantShare(t.used, l.capacity) >= t.weight()/l.weights
+	return t.used.DominantShare(l.capacity) >= t.weight()/l.weights
 }
 
 func (s slackStep) compare(other slackStep) int {
@@ -164,7 +164,7 @@
 		}
 	}
 	for _, t := range e.teams {
-		if t.used != (model.Resources{}) {
+		if !t.used.IsZero() {
 			active[t] = true
 		}
 	}
@@ -208,9 +208,3 @@
 // weight returns the team's weight; a team without one counts like one of the
 // smallest.
 func (t *team) weight() float64 { return max(t.policy.Weight, 1) }
-
-// dominantShare returns the largest part of a dimension of the whole.
-func dominantShare(part, whole model.Resources) float64 {
-	return max(fraction(part.MilliCPU, whole.MilliCPU), fraction(part.MemoryMiB, whole.MemoryMiB),
-		fraction(part.Accelerators, whole.Accelerators))
-}
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -235,8 +235,8 @@
 // score rates the worker by how little it leaves unused.
 func score(s *step, t *task, w *worker, left model.Resources) float64 {
 	capacity := w.info.Capacity
-	cpu := fraction(left.MilliCPU, capacity.MilliCPU)
-	memory := fraction(left.MemoryMiB, capacity.MemoryMiB)
+	cpu := model.Fraction(left.MilliCPU, capacity.MilliCPU)
+	memory := model.Fraction(left.MemoryMiB, capacity.MemoryMiB)
 	points := -(cpu + memory) / 2
 	if cpu > memory {
 		points -= balancePoints * (cpu - memory)
@@ -252,13 +252,6 @@
 	return points - doubtPenalty*float64(w.health.failures)
 }
 
-func fraction(part, whole int64) float64 {
-	if whole <= 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
-}
-
 func plannedRack(planned map[*worker]int) string {
 	best, count := "", 0
 	for w, n := range planned {
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -59,8 +59,10 @@
 		if info.Life < w.life {
 			info.Life = w.life // the entry is older than the worker's own word
 		}
+		if !w.sameKind(info) {
+			e.profiles[profileOf(info)] = struct{}{}
+		}
 		w.info, w.listed = info, true
-		e.profiles[profileOf(info)] = struct{}{}
 	}
 	for id, w := range e.workers {
 		if named[id] {
--- a/internal/core/model/resources.go
+++ b/internal/core/model/resources.go
@@ -87,3 +87,11 @@
 	}
 	return share
 }
+
+// Fraction returns part of whole, or 0 of a dimension that is not offered.
+func Fraction(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- a/internal/core/rack/index.go
+++ b/internal/core/rack/index.go
@@ -142,11 +142,11 @@
 
 // rowFloor returns the least score that a worker of the row can have.
 func (x *index) rowFloor(row int, size model.Resources) float64 {
-	return fraction(int64(row)*x.step.MilliCPU-size.MilliCPU, x.scale.MilliCPU)
+	return model.Fraction(int64(row)*x.step.MilliCPU-size.MilliCPU, x.scale.MilliCPU)
 }
 
 func (x *index) colFloor(col int, size model.Resources) float64 {
-	return fraction(int64(col)*x.step.MemoryMiB-size.MemoryMiB, x.scale.MemoryMiB)
+	return model.Fraction(int64(col)*x.step.MemoryMiB-size.MemoryMiB, x.scale.MemoryMiB)
 }
 
 func (x *index) scanCell(w *worker, s *search) {
@@ -168,18 +168,11 @@
 // score is the dominant fraction that the worker would have left.
 func (x *index) score(free, size model.Resources) float64 {
 	return max(
-		fraction(free.MilliCPU-size.MilliCPU, x.scale.MilliCPU),
-		fraction(free.MemoryMiB-size.MemoryMiB, x.scale.MemoryMiB),
+		model.Fraction(free.MilliCPU-size.MilliCPU, x.scale.MilliCPU),
+		model.Fraction(free.MemoryMiB-size.MemoryMiB, x.scale.MemoryMiB),
 	)
 }
 
-func fraction(part, whole int64) float64 {
-	if whole <= 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
-}
-
 func contains(list []model.VMID, id model.VMID) bool {
 	for _, v := range list {
 		if v == id {
--- a/internal/core/rack/refine.go
+++ b/internal/core/rack/refine.go
@@ -68,8 +68,8 @@
 // weight is what counts as filled: the sum of the parts of a worker.
 func (f *refiner) weight(size model.Resources) float64 {
 	scale := f.rack.scale
-	return fraction(size.MilliCPU, scale.MilliCPU) + fraction(size.MemoryMiB, scale.MemoryMiB) +
-		fraction(size.Accelerators, scale.Accelerators)
+	return model.Fraction(size.MilliCPU, scale.MilliCPU) + model.Fraction(size.MemoryMiB, scale.MemoryMiB) +
+		model.Fraction(size.Accelerators, scale.Accelerators)
 }
 
 // leastGain is the least improvement that counts.
