Repeat stop orders until a worker has accepted them

Ruled out: late orders of the former owner (the log shows no stop sent at all).

Change: the engine knows whether a stop order is in flight. After one that was given up, each report of the worker leads to another one, until a stop was accepted or the run is over. A send is tried three times, so that stops to unresponsive workers no longer occupy the order pool.

--- a/internal/app/celltest/worker_test.go
+++ b/internal/app/celltest/worker_test.go
@@ -24,6 +24,7 @@
 
 	lateProbability float64                    // that an order gets no answer and is executed later
 	failProbability float64                    // that a run fails
+	listDelay       time.Duration              // until an owner gets the first worker list
 	limits          map[string]model.Resources // upper limits by team
 }
 
@@ -109,6 +110,7 @@
 
 // Follow implements port.WorkerDirectory.
 func (f *fleet) Follow(ctx context.Context, update func([]dispatch.WorkerInfo)) {
+	time.Sleep(f.listDelay)
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		list := make([]dispatch.WorkerInfo, 0, len(f.workers))
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -114,7 +114,7 @@
 				write.done <- port.NotStarted.Wrap(port.NeverFits.New("%s", reason))
 				return true
 			}
-			s.engine.AddJob(id, spec, wall)
+			s.addJob(id, spec, wall)
 		}
 		return false
 	})
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -295,13 +295,24 @@
 		s.mu.Unlock()
 		return
 	}
-	if state.Ended() || !s.engine.AddJob(id, replica.Spec(submission), s.Clock.Wall()) {
+	if state.Ended() || !s.addJob(id, replica.Spec(submission), s.Clock.Wall()) {
 		s.staleSubmissions = append(s.staleSubmissions, id)
 	}
 	s.mu.Unlock()
 	s.wake()
 }
 
+// addJob adds a submitted job to the engine, and cancels it if its cancellation was
+// read before its submission. It returns false for a job that was purged recently. The
+// caller holds mu.
+func (s *ownerSession) addJob(id model.JobID, spec dispatch.JobSpec, wall time.Time) bool {
+	added := s.engine.AddJob(id, spec, wall)
+	if added && s.Replica.Cancelled(id) {
+		s.engine.Cancel(id)
+	}
+	return added
+}
+
 // Cancelled implements replica.Listener.
 func (s *ownerSession) Cancelled(id model.JobID) {
 	s.mu.Lock()
--- a/internal/app/dispatcher/orders.go
+++ b/internal/app/dispatcher/orders.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
@@ -100,13 +102,14 @@
 	s.wake()
 }
 
-// stop sends a stop order until the worker has accepted it or the run is known to
-// have ended.
+// stop sends a stop order up to maxStopSends times, until the worker has accepted it
+// or the run is known to have ended. After that, or while the worker is not known
+// yet, the worker's reports lead to further orders.
 func (s *ownerSession) stop(ctx context.Context, order dispatch.StopOrder) {
-	for ctx.Err() == nil {
+	for sends := 0; sends < maxStopSends && ctx.Err() == nil; sends++ {
 		w := s.workerState(order.Worker)
 		if w == nil {
-			return
+			break
 		}
 		callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
 		clock, err := s.Workers.Stop(callCtx, w.endpoint(), order, w.token(s.epoch))
@@ -123,26 +126,40 @@
 		}
 		_ = sleep(ctx, stopRetryPause)
 	}
+	if ctx.Err() != nil {
+		return
+	}
+	s.Logger.WithFields(logrus.Fields{"task": order.Task.String(), "run": order.Run, "worker": order.Worker, "epoch": s.epoch}).
+		Info("stop was not accepted; the worker's next report leads to another order")
+	s.mu.Lock()
+	s.engine.ApplyStopUnsettled(order)
+	s.mu.Unlock()
 }
 
 // pace sends a pace order once. After an error the worker's next report leads to
 // another order.
 func (s *ownerSession) pace(ctx context.Context, order dispatch.PaceOrder) {
+	if err := s.sendPace(ctx, order); err != nil {
+		s.mu.Lock()
+		s.engine.ApplyPaceFailed(order)
+		s.mu.Unlock()
+	}
+}
+
+// sendPace sends a pace order. An error of class NotStarted proves that nothing was
+// sent.
+func (s *ownerSession) sendPace(ctx context.Context, order dispatch.PaceOrder) error {
 	w := s.workerState(order.Worker)
 	if w == nil {
-		return
+		return port.NotStarted.New("worker %s is not known", order.Worker)
 	}
 	token, current := w.tokenFor(s.epoch, order.Incarnation)
 	if !current {
-		return
+		return port.NotStarted.New("worker %s has restarted", order.Worker)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
 	err := s.Workers.Pace(callCtx, w.endpoint(), order, token)
-	cancel()
 	countOrder("pace", err)
-	if err != nil {
-		s.mu.Lock()
-		s.engine.ApplyPaceFailed(order)
-		s.mu.Unlock()
-	}
+	return err
 }
--- a/internal/app/dispatcher/workers.go
+++ b/internal/app/dispatcher/workers.go
@@ -41,6 +41,7 @@
 	// that succeeded.
 	maxUnconfirmedOrder = time.Second
 	stopTimeout         = 500 * time.Millisecond // of one call
+	maxStopSends        = 3
 	stopRetryPause      = 100 * time.Millisecond
 )
 
--- a/internal/app/replica/replica.go
+++ b/internal/app/replica/replica.go
@@ -234,6 +234,16 @@
 	return "", false
 }
 
+// Cancelled reports whether a cancellation of the job was read, which may precede its
+// submission.
+func (r *Replica) Cancelled(id model.JobID) bool {
+	s := r.current.Load().shard(id)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	j, ok := s.jobs[id]
+	return ok && j.Cancelled
+}
+
 // Pending returns the number of the queue's jobs in state Queued, without cancelled
 // ones.
 func (r *Replica) Pending(queue string) int {
--- a/internal/core/dispatch/jobs.go
+++ b/internal/core/dispatch/jobs.go
@@ -230,6 +230,12 @@
 	}
 	t.phase = stopping
 	t.confirmedAt = 0
+	e.orderStop(t)
+}
+
+// orderStop queues a stop order for a run in phase stopping.
+func (e *Engine) orderStop(t *task) {
+	t.stopOrdered = true
 	e.stopOrders = append(e.stopOrders, StopOrder{Task: t.name(), Run: t.run, Worker: t.worker.info.ID, Incarnation: t.incarnation})
 }
 
--- a/internal/core/dispatch/reports.go
+++ b/internal/core/dispatch/reports.go
@@ -40,6 +40,22 @@
 	if !report.Partial {
 		e.endMissing(w, report.Clock, reported)
 	}
+	e.repeatStops(w, report.Clock, reported)
+}
+
+// repeatStops queues another stop order for each run that is being stopped if the
+// last order was given up, or if the worker accepted it and still reports the run
+// after StopTimeout. clock is the reading of the worker's clock in the report.
+func (e *Engine) repeatStops(w *worker, clock time.Duration, reported map[TaskName]bool) {
+	for _, t := range w.sortedTasks() {
+		if t.phase != stopping || t.stopOrdered {
+			continue
+		}
+		accepted := t.confirmedAt != 0
+		if !accepted || reported[t.name()] && clock >= t.confirmedAt+reportMargin {
+			e.orderStop(t)
+		}
+	}
 }
 
 // applyRestart applies the first report of a new incarnation of the worker: the runs
@@ -87,7 +103,7 @@
 }
 
 func (e *Engine) applyEnd(w *worker, ended EndedRun, now time.Duration) {
-	if run, ok := w.orphaned[ended.Task]; ok && run == ended.Run {
+	if w.orphan(ended.Task, ended.Run) != nil {
 		delete(w.orphaned, ended.Task)
 	}
 	t := e.currentRun(ended.Task, ended.Run, w.info.ID)
@@ -111,8 +127,13 @@
 		reported[active.Task] = true
 		t := e.currentRun(active.Task, active.Run, w.info.ID)
 		if t == nil {
-			if _, known := w.orphaned[active.Task]; !known {
-				w.orphaned[active.Task] = active.Run
+			o := w.orphan(active.Task, active.Run)
+			if o == nil {
+				o = &orphan{run: active.Run}
+				w.orphaned[active.Task] = o
+			}
+			if !o.stopOrdered {
+				o.stopOrdered = true
 				e.stopOrders = append(e.stopOrders, StopOrder{Task: active.Task, Run: active.Run, Worker: w.info.ID, Incarnation: w.incarnation})
 			}
 			continue
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -10,7 +10,7 @@
 func (e *Engine) worker(id model.VMID) *worker {
 	found, ok := e.workers[id]
 	if !ok {
-		found = &worker{info: WorkerInfo{ID: id}, pace: fullPace, tasks: map[TaskName]*task{}, orphaned: map[TaskName]uint64{}}
+		found = &worker{info: WorkerInfo{ID: id}, pace: fullPace, tasks: map[TaskName]*task{}, orphaned: map[TaskName]*orphan{}}
 		e.workers[id] = found
 	}
 	return found
@@ -120,9 +120,33 @@
 func (e *Engine) ApplyStopped(name TaskName, run uint64, id model.VMID, clock time.Duration) {
 	if t := e.currentRun(name, run, id); t != nil && t.phase == stopping {
 		t.confirmedAt = clock + e.settings.StopTimeout
+		t.stopOrdered = false
 	}
 }
 
+// ApplyStopUnsettled records that a stop order was given up without an answer that
+// the worker accepted it. The worker's next report leads to another order if the
+// run may still be active.
+func (e *Engine) ApplyStopUnsettled(order StopOrder) {
+	if t := e.currentRun(order.Task, order.Run, order.Worker); t != nil && t.phase == stopping {
+		t.stopOrdered = false
+		return
+	}
+	if w, ok := e.workers[order.Worker]; ok {
+		if o := w.orphan(order.Task, order.Run); o != nil {
+			o.stopOrdered = false
+		}
+	}
+}
+
+// orphan returns the worker's orphaned run, or nil if there is none.
+func (w *worker) orphan(name TaskName, run uint64) *orphan {
+	if o, ok := w.orphaned[name]; ok && o.run == run {
+		return o
+	}
+	return nil
+}
+
 // currentRun returns the task if the run is its latest one and assigned to the
 // worker, or nil otherwise.
 func (e *Engine) currentRun(name TaskName, run uint64, id model.VMID) *task {
@@ -294,7 +318,7 @@
 		return t.phase == stopping
 	}
 	w, ok := e.workers[id]
-	return ok && w.orphaned[name] == run && run > 0
+	return ok && w.orphan(name, run) != nil
 }
 
 // WorkersWithTasks returns the workers on which runs may be active, in any order.
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -94,6 +94,8 @@
 	orderedPace int  // pace in the last pace order; fullPace after the start
 	adopted     bool // placed by a previous owner; no order of this owner is in flight
 	percent     int  // share of the full work rate last reported by the worker
+	// stopOrdered reports that a stop order for the run is queued or being sent.
+	stopOrdered bool
 }
 
 func (t *task) name() TaskName {
@@ -128,10 +130,10 @@
 	lastReport    time.Duration
 	used          model.Resources
 	tasks         map[TaskName]*task
-	orphaned      map[TaskName]uint64 // reported runs that are no task's current run
-	acked         uint64              // sequence number up to which ends are durable
-	handled       uint64              // sequence number up to which ends were applied
-	reservedPass  int                 // last pass in which a gang reserved it
+	orphaned      map[TaskName]*orphan // reported runs that are no task's current run
+	acked         uint64               // sequence number up to which ends are durable
+	handled       uint64               // sequence number up to which ends were applied
+	reservedPass  int                  // last pass in which a gang reserved it
 	health        workerHealth
 	pace          int           // share of the full work rate, in percent, at which best-effort tasks may run
 	paceChangedAt time.Duration // when pace last changed
@@ -142,6 +144,12 @@
 // occupied reports whether runs may be active on the worker.
 func (w *worker) occupied() bool { return len(w.tasks) > 0 || len(w.orphaned) > 0 }
 
+// orphan is a run that a worker reported and that is no task's current run.
+type orphan struct {
+	run         uint64
+	stopOrdered bool // a stop order is queued, being sent or accepted
+}
+
 type team struct {
 	policy Team
 	used   model.Resources
