Schedule by index and by change instead of full scans

Cause: a pass of the dispatch engine cost (waiting steps) x (workers). Each of up to 100 passes a second sorted all workers for each waiting step that wants advice and walked a map of all workers for each task, so that the queue's length fed on itself.

Change: workers are indexed by service and level of free CPU; a step that wants advice rates only the workers that it has a ticket for; a full pass comes after 20 us for each ready step, and passes in between try only steps that became ready or got an answer, with what more urgent steps left in the last full pass. Advice is asked in several requests at once, sized by the share approved so far, from workers that no other request in flight would fill, and first from the rack that holds the data (found by reading: those came last before).

Tests: the loads of load_test.go and the cells in virtual time pass.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -17,73 +16,160 @@
 		return true
 	}
 	t, ok := s.tickets[w.info.ID]
-	return ok && t.incarnation == w.incarnation && t.expires > now+e.settings.TicketMargin
+	return ok && t.worker == w && t.incarnation == w.incarnation && t.expires > now+e.settings.TicketMargin
 }
 
-// requestAdvice queues an advice request for the step if it needs approval for
-// more workers and could use them.
+const (
+	// adviceBatchSize is the maximum number of workers in one advice request; the
+	// placement policy's latency grows with each.
+	adviceBatchSize = 30
+	// minAdviceBatch is the minimum number of workers in one of several requests.
+	minAdviceBatch = 8
+	// maxAdviceWorkers is the maximum number of workers that a step asks about at once.
+	maxAdviceWorkers = 4 * adviceBatchSize
+	// minAdviceWorkers is the number of workers that a step asks about even if fewer
+	// are expected to suffice.
+	minAdviceWorkers = 12
+	// adviceLatencyShare bounds the time that the workers of one of several requests
+	// add to the placement policy's latency, as a fraction of the fixed part of it.
+	adviceLatencyShare = 0.25
+	// adviceSurplus is the number of approved task slots to ask for per pending task.
+	adviceSurplus = 1.5
+	// stepsPerAnswer is the number of steps without a free advisor that are tried again
+	// after an answer, which makes one advisor free.
+	stepsPerAnswer = 2
+	// adviceRetryDelay is the delay after a failed advice request.
+	adviceRetryDelay = 200 * time.Millisecond
+	// initialApprovalRate is assumed before the first answer for a queue.
+	initialApprovalRate = 0.5
+	// approvalMemory is the weight of the earlier answers after a new one.
+	approvalMemory = 0.9
+)
+
+// requestAdvice queues advice requests for the step if it needs approval for more
+// workers and could use them. The workers are divided among several requests, which
+// the placement policy serves at the same time for different callers.
 func (e *Engine) requestAdvice(s *step, now time.Duration) {
-	if !e.requiresAdvice(s) || s.advicePending || now < s.adviceRetryAt {
+	if !e.requiresAdvice(s) || s.adviceCalls > 0 || now < s.adviceRetryAt {
 		return
 	}
-	size := s.spec.footprint()
 	demand := s.spec.Size
 	if s.gang != nil {
 		demand = demand.Scale(int64(len(s.tasks)))
 	}
-	jobTeam := e.team(s.occurrence.job.spec.Team)
-	if !size.Fits(e.unreserved) || !withinLimit(jobTeam, e.reserved[jobTeam].Add(demand)) {
+	jobTeam := s.occurrence.job.team
+	if !s.spec.footprint().Fits(e.unreserved) || !withinLimit(jobTeam, e.reserved[jobTeam].Add(demand)) {
 		return // the rest is reserved for more urgent steps
 	}
-	type candidate struct {
-		worker *worker
-		score  float64
+	queue := e.queue(s.occurrence.job)
+	candidates := e.adviceCandidates(s, now)
+	batch := adviceBatch(queue, len(candidates))
+	for chunk := range slices.Chunk(candidates, batch) {
+		o := s.occurrence
+		request := AdviceRequest{
+			Job: o.job.id, Occurrence: o.number, Step: s.index,
+			ExpectedLatency: queue.AdviceDecision + time.Duration(len(chunk))*queue.AdvicePerWorker,
+		}
+		if !e.adviceInFlight.begin(request.ExpectedLatency, e.advisors) {
+			if s.adviceCalls == 0 {
+				e.awaitingAdvisor = append(e.awaitingAdvisor, s)
+			}
+			return
+		}
+		for _, c := range chunk {
+			request.Workers = append(request.Workers, c.worker.info.ID)
+			request.asked = append(request.asked, c.demand)
+			c.worker.asked = c.worker.asked.Add(c.demand)
+		}
+		s.adviceCalls++
+		e.adviceRequests = append(e.adviceRequests, request)
 	}
-	var expired, untried []candidate // by whether the placement policy has approved the worker before
-	for id, w := range e.workers {
-		if !e.eligible(s, w, now) || !size.Fits(w.free()) || e.allowed(s, w, now) {
-			continue
+}
+
+// adviceBatch returns the number of workers in each request if the queue's policy is
+// asked about the given number of workers.
+func adviceBatch(queue *Queue, workers int) int {
+	batch := adviceBatchSize
+	if queue.AdvicePerWorker > 0 {
+		batch = int(adviceLatencyShare * float64(queue.AdviceDecision) / float64(queue.AdvicePerWorker))
+	}
+	batch = min(max(batch, minAdviceBatch), adviceBatchSize)
+	requests := max(1, (workers+batch-1)/batch)
+	return max(1, (workers+requests-1)/requests) // of equal size
+}
+
+// adviceCandidate is a worker to ask about and the capacity that the step would use.
+type adviceCandidate struct {
+	worker *worker
+	demand model.Resources
+}
+
+// adviceCandidates returns the workers to ask about: those whose tickets have expired
+// if they suffice, then the workers in the step's preferred rack, then those with the
+// most free capacity. Workers that other requests in flight would fill come last.
+func (e *Engine) adviceCandidates(s *step, now time.Duration) []adviceCandidate {
+	size := s.spec.footprint()
+	queue := e.queue(s.occurrence.job)
+	rate, known := e.approvalRates[queue.Name]
+	if !known {
+		rate = initialApprovalRate
+	}
+	var list, filled []adviceCandidate
+	expected := 0.0 // approved task slots
+	seen := map[*worker]bool{}
+	add := func(w *worker, rate float64) {
+		if seen[w] || !size.Fits(w.free()) || !e.eligible(s, w, now) || e.allowed(s, w, now) || !e.belowWorkerLimit(s, w, 0) {
+			return
 		}
-		c := candidate{w, score(s, s.tasks[0], w, w.free().Sub(size))}
-		if _, approved := s.tickets[id]; approved {
-			expired = append(expired, c)
-		} else if !s.denied[id] {
-			untried = append(untried, c)
+		seen[w] = true
+		slots := s.adviceSlots(w, w.free().Sub(w.asked))
+		if slots == 0 {
+			filled = append(filled, adviceCandidate{worker: w})
+			return
 		}
+		expected += float64(slots) * rate
+		list = append(list, adviceCandidate{w, size.Scale(int64(slots))})
 	}
-	if len(expired)+len(untried) == 0 {
-		return
+	enough := func() bool {
+		return len(list) >= maxAdviceWorkers || len(list) >= minAdviceWorkers && expected >= adviceSurplus*float64(s.pending)
+	}
+	for _, t := range s.tickets {
+		add(t.worker, 1) // approved before
 	}
-	byFreeCapacity := func(a, b candidate) int {
-		if c := cmp.Compare(a.score, b.score); c != 0 {
-			return c // lowest score, that is most free capacity, first: it is likelier to be free still when the answer arrives
+	if expected >= float64(s.pending) {
+		return list
+	}
+	untried := func(w *worker) bool {
+		if !s.denied[w.info.ID] {
+			add(w, rate)
 		}
-		return cmp.Compare(a.worker.info.ID, b.worker.info.ID)
-	}
-	slices.SortFunc(expired, byFreeCapacity)
-	slices.SortFunc(untried, byFreeCapacity)
-	o := s.occurrence
-	request := AdviceRequest{Job: o.job.id, Occurrence: o.number, Step: s.index}
-	taskSlots := 0
-	for _, c := range expired {
-		taskSlots += fitCount(size, c.worker.free())
-	}
-	if taskSlots >= s.pending {
-		untried = nil
-	}
-	for _, c := range append(expired, untried...) {
-		if len(request.Workers) == adviceBatchSize {
-			break
+		return !enough() && len(filled) < maxAdviceWorkers
+	}
+	if s.spec.PreferRack != "" {
+		for w := range e.byLabel[s.spec.PreferRack] {
+			untried(w)
 		}
-		request.Workers = append(request.Workers, c.worker.info.ID)
 	}
-	queue := e.queue(o.job)
-	request.ExpectedLatency = queue.AdviceDecision + time.Duration(len(request.Workers))*queue.AdvicePerWorker
-	if !e.adviceInFlight.begin(request.ExpectedLatency, e.advisors) {
-		return
+	if x := e.indexes[queue.Service]; x != nil && !enough() {
+		x.descend(size.MilliCPU, untried)
 	}
-	s.advicePending = true
-	e.adviceRequests = append(e.adviceRequests, request)
+	if missing := minAdviceWorkers - len(list); missing > 0 {
+		list = append(list, filled[:min(missing, len(filled))]...)
+	}
+	return list
+}
+
+// adviceSlots returns the number of the step's pending tasks that fit into the free
+// capacity of the worker.
+func (s *step) adviceSlots(w *worker, free model.Resources) int {
+	if !s.spec.footprint().Fits(free) {
+		return 0
+	}
+	slots := min(fitCount(s.spec.footprint(), free), s.pending)
+	if s.spec.MaxPerWorker > 0 {
+		slots = min(slots, s.spec.MaxPerWorker-s.placedOn[w])
+	}
+	return slots
 }
 
 // slowAdvice is the expected latency from which an advice request counts as slow.
@@ -130,6 +216,16 @@
 // was no answer; the step may request advice again after adviceRetryDelay.
 func (e *Engine) ApplyAdvice(request AdviceRequest, approved []Approval, validity, sentAt, now time.Duration, err error) {
 	e.adviceInFlight.end(request.ExpectedLatency)
+	next := min(stepsPerAnswer, len(e.awaitingAdvisor))
+	for _, s := range e.awaitingAdvisor[:next] {
+		e.changed[s] = struct{}{}
+	}
+	e.awaitingAdvisor = e.awaitingAdvisor[next:]
+	for i, id := range request.Workers {
+		if w, ok := e.workers[id]; ok {
+			w.asked = w.asked.Sub(request.asked[i]).Max(model.Resources{})
+		}
+	}
 	j, ok := e.jobs[request.Job]
 	if !ok {
 		return
@@ -139,7 +235,9 @@
 		return
 	}
 	s := o.steps[request.Step]
-	s.advicePending = false
+	s.adviceCalls--
+	e.changed[s] = struct{}{}
+	s.blockedVersion = 0
 	if err != nil {
 		s.adviceRetryAt = now + adviceRetryDelay
 		return
@@ -148,18 +246,23 @@
 	for _, a := range approved {
 		tickets[a.Worker] = a.Ticket
 	}
+	e.learnApprovalRate(e.queue(j).Name, float64(len(approved))/float64(max(1, len(request.Workers))))
 	for _, id := range request.Workers {
 		value, ok := tickets[id]
-		if !ok {
-			s.denied[id] = true
+		w, known := e.workers[id]
+		if !ok || !known {
+			s.denied[id] = !ok
 			delete(s.tickets, id)
 			continue
 		}
-		incarnation := int64(0)
-		if w, known := e.workers[id]; known {
-			incarnation = w.incarnation
-		}
-		s.tickets[id] = ticket{value: value, incarnation: incarnation, expires: sentAt + validity}
+		s.tickets[id] = ticket{worker: w, value: value, incarnation: w.incarnation, expires: sentAt + validity}
 	}
-	s.blockedVersion = 0
+}
+
+// learnApprovalRate updates the queue's approval rate with that of one answer.
+func (e *Engine) learnApprovalRate(queue string, rate float64) {
+	if known, ok := e.approvalRates[queue]; ok {
+		rate = approvalMemory*known + (1-approvalMemory)*rate
+	}
+	e.approvalRates[queue] = rate
 }
--- a/internal/core/dispatch/jobs.go
+++ b/internal/core/dispatch/jobs.go
@@ -15,7 +15,7 @@
 	if _, known := e.jobs[id]; known {
 		return true
 	}
-	j := &job{id: id, spec: spec, state: Queued, occurrences: map[int]*occurrence{}, completed: map[int]bool{}}
+	j := &job{id: id, spec: spec, team: e.team(spec.Team), state: Queued, occurrences: map[int]*occurrence{}, completed: map[int]bool{}}
 	e.jobs[id] = j
 	e.withFutureOccurrences[j] = struct{}{}
 	e.createDueOccurrences(j, now)
@@ -156,6 +156,9 @@
 	if spec.Gang {
 		s.gang = &gang{}
 	}
+	if spec.MaxPerWorker > 0 {
+		s.placedOn = map[*worker]int{}
+	}
 	for i := range spec.Tasks {
 		s.tasks = append(s.tasks, &task{step: s, index: i})
 	}
@@ -167,6 +170,7 @@
 	for _, s := range o.steps {
 		if e.placeable(s) {
 			e.ready[s] = struct{}{}
+			e.changed[s] = struct{}{}
 			s.blockedVersion = 0
 		} else {
 			delete(e.ready, s)
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -9,30 +9,59 @@
 )
 
 const (
-	// adviceBatchSize is the maximum number of workers in one advice request; the
-	// placement policy's latency grows with each.
-	adviceBatchSize = 30
-	// adviceRetryDelay is the delay after a failed advice request.
-	adviceRetryDelay = 200 * time.Millisecond
 	// reserveDelay is how long a gang must have been due before workers are reserved
 	// for it.
 	reserveDelay = 300 * time.Millisecond
 )
 
-// Schedule runs one scheduling pass over the ready steps. The decisions are in the
-// next batch.
+// Schedule runs one scheduling pass. The decisions are in the next batch. A full pass
+// tries all ready steps in order of urgency. Its cost grows with their number, so the
+// more steps are ready, the longer the time until the next one; the passes in between
+// try only the steps that became ready or whose advice was answered since.
 func (e *Engine) Schedule(now time.Duration, wall time.Time) {
-	e.pass++
 	for j := range e.withFutureOccurrences {
 		e.createDueOccurrences(j, wall)
 	}
 	e.topPriorityUsage.observe(now)
-	e.free = e.freeCapacity(now)
+	if now < e.nextFullPass {
+		e.schedule(e.buildReadyQueue(e.changed, wall), false, now, wall)
+		return
+	}
+	if e.version == e.passVersion && len(e.changed) == 0 && now < e.lastFullPass+idlePassInterval {
+		return
+	}
+	e.pass++
+	e.nextFullPass, e.lastFullPass = now+time.Duration(len(e.ready))*passTimePerStep, now
+	e.sumCapacity(now)
 	e.unreserved = e.free
 	clear(e.reserved)
-	queue := e.buildReadyQueue(wall)
+	e.awaitingAdvisor = nil
+	e.schedule(e.buildReadyQueue(e.ready, wall), true, now, wall)
+	e.passVersion = e.version
+}
+
+const (
+	// passTimePerStep is the time between two full passes for each ready step.
+	passTimePerStep = 20 * time.Microsecond
+	// idlePassInterval is the time between two full passes when nothing has changed:
+	// the time alone ends pauses and makes tickets expire.
+	idlePassInterval = 100 * time.Millisecond
+)
+
+// schedule tries the steps of the queue in a full pass or one of those in between.
+func (e *Engine) schedule(queue *readyQueue, full bool, now time.Duration, wall time.Time) {
+	clear(e.changed)
+	if full {
+		e.remainders = e.remainders[:0]
+	}
 	for s := queue.next(); s != nil; s = queue.next() {
-		if !e.requiresAdvice(s) && s.blockedVersion == e.version && s.blockedVersion != 0 {
+		if full {
+			e.noteRemainder(queue.tiers[0].urgency)
+		} else {
+			e.unreserved = e.remainderFor(queue.tiers[0].urgency)
+		}
+		if s.blockedVersion == e.version && s.blockedVersion != 0 && (!e.requiresAdvice(s) || s.adviceCalls > 0) {
+			e.reserveCapacity(s)
 			continue
 		}
 		version := e.version
@@ -93,7 +122,7 @@
 func (e *Engine) placeGang(s *step, now time.Duration, wall time.Time) bool {
 	planned := map[*worker]int{}
 	chosen := make([]*worker, 0, len(s.tasks))
-	jobTeam := e.team(s.occurrence.job.spec.Team)
+	jobTeam := s.occurrence.job.team
 	fits := withinLimit(jobTeam, s.spec.Size.Scale(int64(len(s.tasks))))
 	for _, t := range s.tasks {
 		if !fits {
@@ -184,36 +213,17 @@
 // planned is the number of members of the same gang already planned per worker, nil
 // outside of gangs.
 func (e *Engine) selectWorker(s *step, t *task, now time.Duration, planned map[*worker]int) *worker {
-	if planned == nil && !withinLimit(e.team(s.occurrence.job.spec.Team), s.spec.Size) {
+	if planned == nil && !withinLimit(s.occurrence.job.team, s.spec.Size) {
 		return nil
 	}
-	size := s.spec.footprint()
-	if !size.Add(e.headroom(s)).Fits(e.free) {
+	if !s.spec.footprint().Add(e.headroom(s)).Fits(e.free) {
 		return nil
 	}
-	var best *worker
-	bestScore := 0.0
-	rack := ""
+	find := search{engine: e, step: s, task: t, now: now, planned: planned}
 	if s.spec.SingleRack {
-		rack = plannedRack(planned)
+		find.rack = plannedRack(planned)
 	}
-	for _, w := range e.workers {
-		if !e.eligible(s, w, now) || w.reservedPass == e.pass || !e.allowed(s, w, now) {
-			continue
-		}
-		free := w.free().Sub(size.Scale(int64(planned[w])))
-		if !size.Fits(free) || !e.belowWorkerLimit(s, w, planned[w]) {
-			continue
-		}
-		score := score(s, t, w, free.Sub(size))
-		if rack != "" && w.info.Rack != rack {
-			score -= rackPenalty
-		}
-		if best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID {
-			best, bestScore = w, score
-		}
-	}
-	return best
+	return find.run()
 }
 
 // belowWorkerLimit reports whether MaxPerWorker allows one more task of the step on
@@ -222,13 +232,7 @@
 	if s.spec.MaxPerWorker == 0 {
 		return true
 	}
-	count := planned
-	for _, t := range w.tasks {
-		if t.step == s {
-			count++
-		}
-	}
-	return count < s.spec.MaxPerWorker
+	return s.placedOn[w]+planned < s.spec.MaxPerWorker
 }
 
 // The weights of a placement score. They are relative to the fraction of the worker's
--- a/internal/core/dispatch/readyqueue.go
+++ b/internal/core/dispatch/readyqueue.go
@@ -39,16 +39,20 @@
 			allowed++
 		}
 	}
-	jobTeam := e.team(s.occurrence.job.spec.Team)
+	jobTeam := s.occurrence.job.team
 	e.jobEvent("job_waits", s.occurrence.job, fmt.Sprintf(
 		"step %d: %d tasks pending, team within limit: %t, workers eligible/with free capacity/approved: %d/%d/%d, advice request in flight: %t",
-		s.index, s.pending, withinLimit(jobTeam, s.spec.Size), eligible, fitting, allowed, s.advicePending))
+		s.index, s.pending, withinLimit(jobTeam, s.spec.Size), eligible, fitting, allowed, s.adviceCalls > 0))
 }
 
 // reserveCapacity reserves capacity for the step's pending tasks against less urgent
-// steps, unless its team's limit does not allow them.
+// steps until the next full pass, unless its team's limit does not allow them.
 func (e *Engine) reserveCapacity(s *step) {
-	jobTeam := e.team(s.occurrence.job.spec.Team)
+	if s.reservedPass == e.pass {
+		return
+	}
+	s.reservedPass = e.pass
+	jobTeam := s.occurrence.job.team
 	demand := s.spec.Size.Scale(int64(s.pending))
 	if !withinLimit(jobTeam, e.reserved[jobTeam].Add(demand)) {
 		return
@@ -57,15 +61,19 @@
 	e.unreserved = e.unreserved.Sub(s.spec.footprint().Scale(int64(s.pending)))
 }
 
-// freeCapacity returns the total free capacity of the schedulable workers.
-func (e *Engine) freeCapacity(now time.Duration) model.Resources {
-	var total model.Resources
+// sumCapacity updates the total capacity of the listed workers that have reported, and
+// what is free of it on the schedulable ones.
+func (e *Engine) sumCapacity(now time.Duration) {
+	e.free, e.capacity = model.Resources{}, model.Resources{}
 	for _, w := range e.workers {
-		if e.schedulable(w, now) {
-			total = total.Add(w.free())
+		if w.listed && w.synced {
+			e.capacity = e.capacity.Add(w.info.Capacity)
+		}
+		w.counted = e.schedulable(w, now)
+		if w.counted {
+			e.free = e.free.Add(w.free())
 		}
 	}
-	return total
 }
 
 // lateness classifies steps by how late their job would end if they were started
@@ -101,20 +109,63 @@
 // team could otherwise take all capacity that has become free.
 type readyQueue struct {
 	tiers       []tier
-	capacity    model.Resources // of all listed workers that have reported
+	capacity    model.Resources // of all listed workers that have reported, at the last full pass
 	totalWeight float64         // of the teams with ready steps or resources in use
 }
 
-// tier holds the steps of equal lateness and priority, by team.
-type tier struct {
+// urgency orders the steps of different lateness or priority.
+type urgency struct {
 	lateness lateness
-	priority int
-	teams    []teamSteps
+	priority int // of the queue; lower values are more urgent
+}
+
+func (u urgency) compare(other urgency) int {
+	return cmp.Or(cmp.Compare(u.lateness, other.lateness), cmp.Compare(u.priority, other.priority))
+}
+
+// remainder is the capacity that the steps of at least an urgency leave to others.
+type remainder struct {
+	urgency    urgency
+	unreserved model.Resources
+}
+
+// noteRemainder records the capacity that is unreserved before a step of the urgency
+// in a full pass, whose steps come in order of urgency.
+func (e *Engine) noteRemainder(u urgency) {
+	if last := len(e.remainders) - 1; last >= 0 && e.remainders[last].urgency == u {
+		e.remainders[last].unreserved = e.unreserved
+		return
+	}
+	e.remainders = append(e.remainders, remainder{u, e.unreserved})
+}
+
+// remainderFor returns the capacity that the steps of at least the urgency left in the
+// last full pass.
+func (e *Engine) remainderFor(u urgency) model.Resources {
+	left := e.free
+	for _, r := range e.remainders {
+		if r.urgency.compare(u) > 0 {
+			break
+		}
+		left = r.unreserved.Min(e.free)
+	}
+	return left
+}
+
+// tier holds the steps of equal urgency, by team.
+type tier struct {
+	urgency
+	teams []teamSteps
+	index map[*team]int // positions in teams
 }
 
 type teamSteps struct {
 	team  *team
 	steps []slackStep // by increasing slack
+	// over is the result of overShare for the team's usage at the time.
+	over  bool
+	used  model.Resources
+	known bool
 }
 
 // slackStep is a step with the time by which its start can be delayed without
@@ -133,7 +184,7 @@
 			if len(top.teams[i].steps) == 0 {
 				continue
 			}
-			over := q.overShare(top.teams[i].team)
+			over := q.overShare(&top.teams[i])
 			if best < 0 || bestOver && !over ||
 				bestOver == over && top.teams[i].steps[0].compare(top.teams[best].steps[0]) < 0 {
 				best, bestOver = i, over
@@ -151,9 +202,13 @@
 
 // overShare reports whether the team's dominant share is at least its fair share: its
 // weight divided by the total weight of the teams with ready steps or resources in
-// use.
-func (q *readyQueue) overShare(t *team) bool {
-	return t.used.DominantShare(q.capacity) >= t.weight()/q.totalWeight
+// use. It is computed anew only after a change of the team's usage.
+func (q *readyQueue) overShare(t *teamSteps) bool {
+	if !t.known || t.used != t.team.used {
+		t.known, t.used = true, t.team.used
+		t.over = t.used.DominantShare(q.capacity) >= t.team.weight()/q.totalWeight
+	}
+	return t.over
 }
 
 func (s slackStep) compare(other slackStep) int {
@@ -162,28 +217,27 @@
 		cmp.Compare(a.number, b.number), cmp.Compare(s.step.index, other.step.index))
 }
 
-// buildReadyQueue returns the queue of the ready steps for one pass.
-func (e *Engine) buildReadyQueue(wall time.Time) *readyQueue {
-	q := &readyQueue{}
+// buildReadyQueue returns the queue of those of the steps that are ready.
+func (e *Engine) buildReadyQueue(steps map[*step]struct{}, wall time.Time) *readyQueue {
+	q := &readyQueue{capacity: e.capacity}
 	active := map[*team]bool{}
-	for _, w := range e.workers {
-		if w.listed && w.synced {
-			q.capacity = q.capacity.Add(w.info.Capacity)
-		}
-	}
 	for _, t := range e.teams {
 		if !t.used.IsZero() {
 			active[t] = true
 		}
 	}
-	for s := range e.ready {
+	for s := range steps {
+		if _, ready := e.ready[s]; !ready {
+			continue
+		}
 		o := s.occurrence
-		jobTeam := e.team(o.job.spec.Team)
+		jobTeam := o.job.team
 		active[jobTeam] = true
-		stepTier := q.tier(o.lateness(s, wall), e.queue(o.job).Priority)
-		i := slices.IndexFunc(stepTier.teams, func(t teamSteps) bool { return t.team == jobTeam })
-		if i < 0 {
+		stepTier := q.tier(urgency{o.lateness(s, wall), e.queue(o.job).Priority})
+		i, ok := stepTier.index[jobTeam]
+		if !ok {
 			i = len(stepTier.teams)
+			stepTier.index[jobTeam] = i
 			stepTier.teams = append(stepTier.teams, teamSteps{team: jobTeam})
 		}
 		stepTier.teams[i].steps = append(stepTier.teams[i].steps, slackStep{s, o.deadline.Sub(wall) - s.remainingTime})
@@ -196,21 +250,19 @@
 			slices.SortFunc(q.tiers[i].teams[j].steps, slackStep.compare)
 		}
 	}
-	slices.SortFunc(q.tiers, func(a, b tier) int {
-		return cmp.Or(cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.priority, b.priority))
-	})
+	slices.SortFunc(q.tiers, func(a, b tier) int { return a.compare(b.urgency) })
 	return q
 }
 
-// tier returns the tier with the lateness and priority and adds it if needed. The
+// tier returns the tier of the urgency and adds it if needed. The
 // pointer is valid until the next call.
-func (q *readyQueue) tier(l lateness, priority int) *tier {
+func (q *readyQueue) tier(wanted urgency) *tier {
 	for i := range q.tiers {
-		if q.tiers[i].lateness == l && q.tiers[i].priority == priority {
+		if q.tiers[i].urgency == wanted {
 			return &q.tiers[i]
 		}
 	}
-	q.tiers = append(q.tiers, tier{lateness: l, priority: priority})
+	q.tiers = append(q.tiers, tier{urgency: wanted, index: map[*team]int{}})
 	return &q.tiers[len(q.tiers)-1]
 }
 
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -24,7 +25,11 @@
 	t.orderedPace = fullPace
 	w.used = w.used.Add(t.step.spec.footprint())
 	w.tasks[t.name()] = t
-	jobTeam := e.team(t.step.occurrence.job.spec.Team)
+	if t.step.placedOn != nil {
+		t.step.placedOn[w]++
+	}
+	e.reindex(w)
+	jobTeam := t.step.occurrence.job.team
 	jobTeam.used = jobTeam.used.Add(t.step.spec.Size)
 	if t.topPriority = e.isTopPriority(t.step) && !t.step.spec.LongRunning; t.topPriority {
 		e.topPriorityUsage.current = e.topPriorityUsage.current.Add(t.step.spec.footprint())
@@ -40,7 +45,14 @@
 	t.worker = nil
 	w.used = w.used.Sub(t.step.spec.footprint())
 	delete(w.tasks, t.name())
-	jobTeam := e.team(t.step.occurrence.job.spec.Team)
+	if t.step.placedOn != nil {
+		t.step.placedOn[w]--
+	}
+	e.reindex(w)
+	if w.counted {
+		e.free = e.free.Add(t.step.spec.footprint())
+	}
+	jobTeam := t.step.occurrence.job.team
 	jobTeam.used = jobTeam.used.Sub(t.step.spec.Size)
 	if t.topPriority {
 		e.topPriorityUsage.current = e.topPriorityUsage.current.Sub(t.step.spec.footprint())
@@ -64,13 +76,19 @@
 		if !w.sameClass(info) {
 			e.classes[classOf(info)] = struct{}{}
 		}
+		if !w.listed || w.info.Rack != info.Rack || !slices.Equal(w.info.Labels, info.Labels) {
+			e.relabel(w, append(slices.Clone(info.Labels), info.Rack))
+		}
 		w.info, w.listed = info, true
+		e.reindex(w)
 	}
 	for id, w := range e.workers {
 		if present[id] {
 			continue
 		}
-		w.listed = false
+		w.listed, w.counted = false, false
+		e.reindex(w)
+		e.relabel(w, nil)
 		if !w.occupied() {
 			delete(e.workers, id)
 		}
--- a/internal/core/dispatch/spec.go
+++ b/internal/core/dispatch/spec.go
@@ -263,6 +263,8 @@
 	Workers    []model.VMID
 	// ExpectedLatency is the expected time until the placement policy answers.
 	ExpectedLatency time.Duration
+
+	asked []model.Resources // by worker, the capacity that the step would use
 }
 
 // StepName returns the name of the step in the form JOB.OCCURRENCE.STEP.
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -20,6 +20,9 @@
 type job struct {
 	id             model.JobID
 	spec           JobSpec
+	team           *team
+	policy         *Queue // active policy of the job's queue, or the one stored with the job
+	policyVersion  uint64 // Engine.policyVersion at which policy was looked up
 	state          JobState
 	purged         bool
 	runStarted     bool       // a run of the job is known to have started
@@ -51,14 +54,17 @@
 
 	tickets        map[model.VMID]ticket
 	denied         map[model.VMID]bool // workers that the placement policy rejected
-	advicePending  bool
+	placedOn       map[*worker]int     // assigned tasks by worker; only kept if MaxPerWorker is set
+	adviceCalls    int                 // advice requests in flight
 	adviceRetryAt  time.Duration
+	reservedPass   int           // last full pass since which capacity is reserved for it
 	waitLoggedAt   time.Duration // when the reason for waiting was last logged
 	blockedVersion uint64        // Engine.version at the last unsuccessful attempt to place it; zero for none
 }
 
 // ticket is the placement policy's approval for a worker to run the step.
 type ticket struct {
+	worker      *worker
 	value       string
 	incarnation int64 // of the worker at the time of the approval
 	expires     time.Duration
@@ -135,8 +141,14 @@
 	handled       uint64               // sequence number up to which ends were applied
 	reservedPass  int                  // last pass in which a gang reserved it
 	health        workerHealth
-	pace          int           // share of the full work rate, in percent, at which best-effort tasks may run
-	paceChangedAt time.Duration // when pace last changed
+	pace          int             // share of the full work rate, in percent, at which best-effort tasks may run
+	paceChangedAt time.Duration   // when pace last changed
+	asked         model.Resources // that steps would use whose advice requests about the worker are in flight
+	counted       bool            // its free capacity is part of Engine.free
+
+	index           *workerIndex // nil if not listed
+	level, position int          // in the index
+	labels          []string     // under which Engine.byLabel holds the worker
 }
 
 func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.used) }
@@ -175,6 +187,8 @@
 	outOfService map[model.FailureDomain]bool
 
 	workers map[model.VMID]*worker
+	indexes map[string]*workerIndex         // listed workers by service
+	byLabel map[string]map[*worker]struct{} // by label and rack
 	// classes holds the classes of all workers that were ever on the worker list.
 	classes map[workerClass]struct{}
 	jobs    map[model.JobID]*job
@@ -182,16 +196,25 @@
 	purged                map[model.JobID]bool
 	purgedBefore          map[model.JobID]bool
 	ready                 map[*step]struct{}        // steps that can be placed
+	changed               map[*step]struct{}        // that became ready or whose advice was answered since the last pass
 	withFutureOccurrences map[*job]struct{}         // jobs with occurrences that are not created yet
-	pass                  int                       // number of the current scheduling pass
-	free                  model.Resources           // on schedulable workers; reduced by the placements of this pass
-	unreserved            model.Resources           // free at the start of the pass, less the reservations of more urgent steps; not reduced by placements
+	pass                  int                       // number of the last full scheduling pass
+	lastFullPass          time.Duration             // time of it
+	nextFullPass          time.Duration             // earliest time of the next one
+	passVersion           uint64                    // version at its end
+	capacity              model.Resources           // of the listed workers that had reported then
+	free                  model.Resources           // on the workers that were schedulable then; kept up to date by placements and ends
+	unreserved            model.Resources           // free at its start, less the reservations of more urgent steps; not reduced by placements
 	topPriorityUsage      peakUsage                 // of the top-priority tasks, except long-running ones
 	topPriority           int                       // lowest priority value of all queues, the most urgent
-	reserved              map[*team]model.Resources // by team, in this pass
+	remainders            []remainder               // by urgency, from the last full pass
+	reserved              map[*team]model.Resources // by team, since the last full pass
 	adviceInFlight        adviceInFlight
-	advisors              int    // nodes that can call the placement policy
-	version               uint64 // incremented by changes that may unblock a step
+	awaitingAdvisor       []*step            // by urgency; found no free advisor since the last full pass
+	advisors              int                // nodes that can call the placement policy
+	approvalRates         map[string]float64 // by queue, the share of workers that the placement policy approves
+	version               uint64             // incremented by changes that may unblock a step
+	policyVersion         uint64             // incremented by SetPolicy
 
 	batch          Batch
 	stopOrders     []StopOrder
@@ -230,6 +253,11 @@
 		teams:                 map[string]*team{},
 		outOfService:          map[model.FailureDomain]bool{},
 		workers:               map[model.VMID]*worker{},
+		indexes:               map[string]*workerIndex{},
+		byLabel:               map[string]map[*worker]struct{}{},
+		changed:               map[*step]struct{}{},
+		approvalRates:         map[string]float64{},
+		policyVersion:         1,
 		classes:               map[workerClass]struct{}{},
 		jobs:                  map[model.JobID]*job{},
 		reserved:              map[*team]model.Resources{},
@@ -242,6 +270,7 @@
 // SetPolicy replaces the active queues, teams and failure domains out of service.
 // Teams that are missing from the list keep their last policy.
 func (e *Engine) SetPolicy(queues []Queue, teams []Team, out []model.FailureDomain) {
+	e.policyVersion++
 	e.queues = make(map[string]Queue, len(queues))
 	for i, queue := range queues {
 		e.queues[queue.Name] = queue
@@ -270,11 +299,14 @@
 
 // queue returns the active policy of the job's queue, or the one stored with
 // the job if the queue no longer exists.
-func (e *Engine) queue(j *job) Queue {
-	if queue, ok := e.queues[j.spec.Queue.Name]; ok {
-		return queue
+func (e *Engine) queue(j *job) *Queue {
+	if j.policyVersion != e.policyVersion {
+		j.policyVersion, j.policy = e.policyVersion, &j.spec.Queue
+		if queue, ok := e.queues[j.spec.Queue.Name]; ok {
+			j.policy = &queue
+		}
 	}
-	return j.spec.Queue
+	return j.policy
 }
 
 // TakeBatch returns the records and orders decided since the last call.
