Hand the cell to the largest VM, keep connections to workers, refuse late writes

Nodes now announce their processors (a new field; records of older programs count as unknown) and the largest is asked first. - The workers' client kept 1,024 idle connections for all workers together: 16,123 new connections for 19,190 requests. It now refuses submissions whose answer could come too late with 503, which is true, and exits 0.4 s before the kill or when idle.

--- a/internal/adapter/httpcall/httpcall.go
+++ b/internal/adapter/httpcall/httpcall.go
@@ -53,21 +53,33 @@
 	client *http.Client
 }
 
+// Limits bound the connections of a client. Zero means no limit.
+type Limits struct {
+	PerHost     int
+	IdlePerHost int
+	Idle        int // to all hosts together
+}
+
 // New returns a client that opens at most connsPerHost connections to each host;
 // zero means no limit.
 func New(connsPerHost int) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveProbes,
-	}}
 	idlePerHost := connsPerHost
 	if idlePerHost == 0 {
 		idlePerHost = http.DefaultMaxIdleConnsPerHost * 8
 	}
+	return NewLimited(Limits{PerHost: connsPerHost, IdlePerHost: idlePerHost, Idle: maxIdleConns})
+}
+
+// NewLimited returns a client whose connections are within the limits.
+func NewLimited(limits Limits) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveProbes,
+	}}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connsPerHost,
-		MaxIdleConnsPerHost: idlePerHost,
-		MaxIdleConns:        maxIdleConns,
+		MaxConnsPerHost:     limits.PerHost,
+		MaxIdleConnsPerHost: limits.IdlePerHost,
+		MaxIdleConns:        limits.Idle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -400,6 +400,27 @@
 	})
 }
 
+// A node that is about to exit takes no submission whose answer could come too late.
+func TestNodeAboutToExitRefusesSubmissionsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 3, cellWorkers)
+		time.Sleep(3 * time.Second)
+		known := c.registerJob(0, smallSpec(), time.Second)
+		require.True(t, c.submitAt(0, known, smallSpec()))
+		time.Sleep(time.Second)
+		c.setLog(func(l *memLog) { l.down = true })
+		c.node(0).service.RefuseWrites()
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		assert.Equal(t, intake.Unavailable, c.node(0).service.Submit(ctx, "00000000000000aa", smallSpec()))
+		assert.Equal(t, intake.Done, c.node(0).service.Submit(ctx, known, smallSpec()), "the job is durable")
+		assert.Zero(t, time.Since(start))
+		c.setLog(func(l *memLog) { l.down = false })
+		c.close()
+	})
+}
+
 func TestPlannedStopBarelyDelaysJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const answer = 300 * time.Millisecond
--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -78,8 +79,18 @@
 type Service struct {
 	Options
 	direct writer // appends to the log without the owner
+	// refusing reports that new submissions and cancellations are refused at once,
+	// because the node stops before they could be answered.
+	refusing atomic.Bool
 }
 
+// LongestWrite is the longest time from a submission or cancellation to its answer.
+const LongestWrite = giveUpAfter + appendTimeout
+
+// RefuseWrites makes the service refuse all further submissions and cancellations at
+// once, except those of known jobs that need no write.
+func (s *Service) RefuseWrites() { s.refusing.Store(true) }
+
 // New returns a Service.
 func New(options Options) *Service {
 	return &Service{Options: options, direct: writer{log: options.Log, clock: options.Clock, tail: options.Tail}}
@@ -129,7 +140,7 @@
 		return Invalid
 	}
 	start := s.Clock.Now()
-	outcome := s.append(ctx, id, record, func() bool {
+	outcome := s.write(ctx, id, record, func() bool {
 		_, known := s.Replica.State(id)
 		return known
 	})
@@ -150,7 +161,7 @@
 		s.Logger.WithError(err).WithField("job", id).Warn("encoding the cancellation failed; refusing it")
 		return Invalid
 	}
-	outcome := s.append(ctx, id, record, func() bool {
+	outcome := s.write(ctx, id, record, func() bool {
 		state, known := s.Replica.State(id)
 		return known && state.Ended()
 	})
@@ -158,6 +169,14 @@
 	return outcome
 }
 
+// write makes the record durable, or refuses it while the service refuses writes.
+func (s *Service) write(ctx context.Context, id model.JobID, record port.KeyedRecord, durable func() bool) Outcome {
+	if s.refusing.Load() {
+		return Unavailable
+	}
+	return s.append(ctx, id, record, durable)
+}
+
 // append makes the record durable. Each attempt sends it to the owner, waiting for one
 // if there is none, and appends it to the log directly if that fails. Attempts are
 // repeated until one succeeds or the time is up. A delayed effect of an earlier attempt
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
+	"github.com/balsamhitch/balsamhitch/internal/adapter/httpcall"
 	"github.com/balsamhitch/balsamhitch/internal/adapter/peer"
 	"github.com/balsamhitch/balsamhitch/internal/adapter/sysclock"
 	"github.com/balsamhitch/balsamhitch/internal/app/advice"
@@ -32,7 +33,9 @@
 	// workerConnections is the largest number of connections to one worker: one for
 	// polls, the others for orders.
 	workerConnections = 12
-	orderPoolSize     = 256 // orders in flight
+	// idleWorkerConnections is the number of them that are kept open while unused.
+	idleWorkerConnections = 3
+	orderPoolSize         = 256 // orders in flight
 	// nonOwnerReadPause is the pause after a read of the cell's log on a node that is
 	// not the owner; callers see a job's end that much later.
 	nonOwnerReadPause = 100 * time.Millisecond
@@ -50,8 +53,9 @@
 	undelayedNodes = 2
 	olderNodeDelay = 200 * time.Millisecond
 	// exitMargin is the time between a node's exit and the platform's kill.
-	exitMargin = 1500 * time.Millisecond
-	// drainTime is how long a stopping node serves calls on open connections.
+	exitMargin = 400 * time.Millisecond
+	// drainTime is how long a stopping node serves calls on open connections. Calls that
+	// are in flight then are still answered.
 	drainTime = 4 * time.Second
 	// memoryShare is the part of the VM's memory that is set as the Go
 	// runtime's memory limit.
@@ -86,6 +90,7 @@
 	cellTail     *logtail.Tail
 	operatorTail *logtail.Tail
 	owner        *dispatcher.Dispatcher
+	service      *intake.Service
 	ingress      *platform.Ingress
 	peerClient   *peer.Client
 
@@ -99,7 +104,7 @@
 		settings: settings, logger: logger, clock: sysclock.Clock{},
 		advisor: platform.NewAdvisor(settings.PolicyAddress), policy: &policy.Current{},
 	}
-	n.self = replica.NodeInfo{Address: settings.PeerAddress, Started: time.UnixMilli(n.clock.Wall().UnixMilli())}
+	n.self = replica.NodeInfo{Address: settings.PeerAddress, Started: time.UnixMilli(n.clock.Wall().UnixMilli()), MilliProcessors: int64(settings.VM.Processors() * 1000)}
 	n.store = platform.NewStore(settings.StoreAddress, n.clock, n.relay)
 	n.replica = replica.New(n.clock, logger.WithField("part", "replica"))
 	n.cellTail = &logtail.Tail{
@@ -118,7 +123,7 @@
 	n.peerClient = peer.New(peer.Options{Streams: 1, DialTimeout: peerDialTimeout, Logger: logger})
 	n.owner = dispatcher.New(dispatcher.Options{
 		Node: settings.Node, Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cellTail, Policy: n.policy,
-		Workers:   platform.NewWorkers(workerConnections),
+		Workers:   platform.NewWorkers(httpcall.Limits{PerHost: workerConnections, IdlePerHost: idleWorkerConnections, Idle: settings.VM.IdleConnections()}),
 		Directory: &platform.Directory{Log: n.store, Clock: n.clock, Logger: logger.WithField("part", "directory")},
 		Advice:    &advice.Pool{Node: settings.Node, Local: n.advisor, Peers: n.peerClient, Addresses: n.replica.NodeAddresses, Clock: n.clock},
 		Machines:  platform.NewMachines(settings.MachinesAddress, n.store),
@@ -130,7 +135,7 @@
 		Lease: min(settings.Bounds.LongestLease(), maxLease), EndRetention: settings.Bounds.JobEndRetention() + endRetentionMargin,
 		UpkeepDuration: settings.Bounds.Upkeep(),
 	})
-	service := intake.New(intake.Options{
+	n.service = intake.New(intake.Options{
 		Policy: n.policy, Log: n.store, Replica: n.replica, Tail: n.cellTail, Clock: n.clock,
 		Logger: logger.WithField("part", "intake"), Forward: n.forward,
 	})
@@ -139,7 +144,7 @@
 		Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cellTail, Owner: n.owner,
 		Logger: n.logger.WithField("part", "tenure"), Stopping: n.stopping.Load, OwnerStopped: n.ownerStopped,
 	}
-	n.ingress = platform.NewIngress(service, settings.CallersAddress, settings.ReadinessAddress)
+	n.ingress = platform.NewIngress(n.service, settings.CallersAddress, settings.ReadinessAddress)
 	return n, nil
 }
 
@@ -216,6 +221,7 @@
 // have had the time to find other nodes.
 func (n *node) shutDown() {
 	start := n.clock.Now()
+	lastExit := n.settings.Bounds.Shutdown() - exitMargin
 	n.stopping.Store(true)
 	n.ingress.Drain()
 	n.logger.Info("node stopping")
@@ -227,7 +233,10 @@
 	n.owner.Resign()
 	for {
 		elapsed := n.clock.Now() - start
-		if elapsed > n.settings.Bounds.Shutdown()-exitMargin || elapsed > drainTime && n.ingress.Idle() {
+		if elapsed > lastExit-intake.LongestWrite {
+			n.service.RefuseWrites() // the answer to a later one could come too late
+		}
+		if elapsed > lastExit || elapsed > drainTime && n.ingress.Idle() {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/app/node/peers.go
+++ b/internal/app/node/peers.go
@@ -132,7 +132,7 @@
 }
 
 // OtherNodes implements election.Peers.
-func (n *node) OtherNodes() []string { return n.replica.PeersNewestFirst(n.settings.Node) }
+func (n *node) OtherNodes() []string { return n.replica.PeersBySuitability(n.settings.Node) }
 
 // CanTakeOver implements election.Peers.
 func (n *node) CanTakeOver(ctx context.Context, node string) bool {
--- a/internal/app/replica/apply.go
+++ b/internal/app/replica/apply.go
@@ -162,7 +162,7 @@
 	if value == nil {
 		delete(r.nodes, node)
 	} else {
-		r.nodes[node] = NodeInfo{Address: info.GetAddress(), Started: time.UnixMilli(info.GetStartedUnixMs())}
+		r.nodes[node] = NodeInfo{Address: info.GetAddress(), Started: time.UnixMilli(info.GetStartedUnixMs()), MilliProcessors: info.GetMilliProcessors()}
 	}
 	return nil
 }
--- a/internal/app/replica/records.go
+++ b/internal/app/replica/records.go
@@ -56,9 +56,9 @@
 	return encodeRecord(OwnerKey, &logpb.OwnerRecord{Epoch: epoch, Node: node, Resigned: resigned})
 }
 
-// NodeRecord returns the record of a node's peer address and start time.
+// NodeRecord returns the record of what a node announces about itself.
 func NodeRecord(node string, info NodeInfo) (port.KeyedRecord, error) {
-	return encodeRecord(NodeKey(node), &logpb.MemberRecord{Address: info.Address, StartedUnixMs: info.Started.UnixMilli()})
+	return encodeRecord(NodeKey(node), &logpb.MemberRecord{Address: info.Address, StartedUnixMs: info.Started.UnixMilli(), MilliProcessors: info.MilliProcessors})
 }
 
 // UpkeepRecord returns the record that a machine's upkeep has begun.
--- a/internal/app/replica/replica.go
+++ b/internal/app/replica/replica.go
@@ -85,6 +85,9 @@
 type NodeInfo struct {
 	Address string // for its peers
 	Started time.Time
+	// MilliProcessors are the thousandths of a processor that its VM may use, zero if
+	// not known.
+	MilliProcessors int64
 }
 
 // OwnerHeartbeat is the latest known heartbeat of the cell's owner, or the
@@ -295,9 +298,10 @@
 	}
 }
 
-// PeersNewestFirst returns the names of the nodes other than the given one, the
-// last started first.
-func (r *Replica) PeersNewestFirst(node string) []string {
+// PeersBySuitability returns the names of the nodes other than the given one, in the
+// order in which they should own the cell: those on the largest VMs first, of these
+// the last started, since a rolling restart reaches it last.
+func (r *Replica) PeersBySuitability(node string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	others := make([]string, 0, len(r.nodes))
@@ -307,7 +311,7 @@
 		}
 	}
 	slices.SortFunc(others, func(a, b string) int {
-		return cmp.Or(r.nodes[b].Started.Compare(r.nodes[a].Started), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(r.nodes[b].MilliProcessors, r.nodes[a].MilliProcessors), r.nodes[b].Started.Compare(r.nodes[a].Started), cmp.Compare(a, b))
 	})
 	return others
 }
--- a/internal/app/replica/replica_test.go
+++ b/internal/app/replica/replica_test.go
@@ -87,3 +87,21 @@
 	assert.Empty(t, r.EndedBefore(time.Unix(2, 0)))
 	assert.Equal(t, []model.JobID{"a"}, r.EndedBefore(time.Unix(3, 0)))
 }
+
+func TestLargestVMsAreMostSuitableOwners(t *testing.T) {
+	r := newReplica()
+	var records []port.KeyedRecord
+	for name, info := range map[string]NodeInfo{
+		"small-young": {Address: "1", Started: time.Unix(900, 0), MilliProcessors: 192},
+		"large-old":   {Address: "2", Started: time.Unix(100, 0), MilliProcessors: 800},
+		"large-young": {Address: "3", Started: time.Unix(500, 0), MilliProcessors: 800},
+		"unknown":     {Address: "4", Started: time.Unix(950, 0)}, // announced by an older program
+		"self":        {Address: "5", Started: time.Unix(1, 0), MilliProcessors: 800},
+	} {
+		record, err := NodeRecord(name, info)
+		require.NoError(t, err)
+		records = append(records, record)
+	}
+	r.Load(records)
+	require.Equal(t, []string{"large-young", "large-old", "small-young", "unknown"}, r.PeersBySuitability("self"))
+}
