Restart long-running tasks among the most urgent steps

Its step was classified by the deadline of its job's submission, so it counted as too late to be of use, and all free capacity was reserved for the steps before it.

Change: a step with long-running tasks has the urgency of the top priority and is never late.

Ruled out: team limit (within), workers (263 eligible), a lost advice answer (none in flight).

--- a/internal/core/dispatch/load_test.go
+++ b/internal/core/dispatch/load_test.go
@@ -241,3 +241,38 @@
 		assert.Equal(t, at, b.startedAt[model.JobID(fmt.Sprintf("burst%d", i))], "burst%d waits for batch tasks to end", i)
 	}
 }
+
+// The load of wkt-nairobi-grown, trouble-2: a long-running task fails long after its
+// job's submission, while urgent jobs ask for more than the cell has.
+func TestFailedLongRunningTaskIsReplacedDuringUrgentBurst(t *testing.T) {
+	b := newBurstTest(t, 4, []Queue{urgentQueue, batchQueue}, []Team{{Name: "a"}, {Name: "b"}})
+	serving := wideStep(1, 4000)
+	serving.LongRunning = true
+	b.submit("serving", "b", batchQueue, serving)
+	b.advance()
+	b.keepRunning("serving")
+	b.now += time.Minute
+	for i := range 200 { // 200 of 32 places
+		b.submit(fmt.Sprintf("urgent%03d", i), "a", urgentQueue, wideStep(4, 4000))
+	}
+	b.advance()
+	for id, orders := range b.running {
+		for _, order := range orders {
+			if order.Task.Job == "serving" {
+				b.lastEnd[id]++
+				b.running[id] = nil
+				b.engine.ApplyReport(id, WorkerReport{Incarnation: 1, Clock: b.now, EndedRuns: []EndedRun{
+					{Sequence: b.lastEnd[id], Task: order.Task, Run: order.Run, Kind: EndFailed},
+				}}, b.now)
+			}
+		}
+	}
+	b.advance()
+	found := false
+	for _, orders := range b.running {
+		for _, order := range orders {
+			found = found || order.Task.Job == "serving"
+		}
+	}
+	assert.True(t, found, "the long-running task waits behind the urgent jobs")
+}
--- a/internal/core/dispatch/readyqueue.go
+++ b/internal/core/dispatch/readyqueue.go
@@ -123,6 +123,16 @@
 	return cmp.Or(cmp.Compare(u.lateness, other.lateness), cmp.Compare(u.priority, other.priority))
 }
 
+// urgency returns the urgency of a ready step. A long-running task is missing until it
+// runs again, however long ago its job was submitted, so its step is among the most
+// urgent ones.
+func (e *Engine) urgency(s *step, wall time.Time) urgency {
+	if s.spec.LongRunning {
+		return urgency{onTime, e.topPriority}
+	}
+	return urgency{s.occurrence.lateness(s, wall), e.queue(s.occurrence.job).Priority}
+}
+
 // remainder is the capacity that the steps of at least an urgency leave to others.
 type remainder struct {
 	urgency    urgency
@@ -233,7 +243,7 @@
 		o := s.occurrence
 		jobTeam := o.job.team
 		active[jobTeam] = true
-		stepTier := q.tier(urgency{o.lateness(s, wall), e.queue(o.job).Priority})
+		stepTier := q.tier(e.urgency(s, wall))
 		i, ok := stepTier.index[jobTeam]
 		if !ok {
 			i = len(stepTier.teams)
