--- a/internal/core/dispatch/stop_test.go
+++ b/internal/core/dispatch/stop_test.go
@@ -8,9 +8,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// servingSpec returns a job whose tasks run until it is cancelled.
-func servingSpec(tasks int) JobSpec {
-	step := smallStep(tasks)
+// servingSpec returns a job with one task, which runs until the job is cancelled.
+func servingSpec() JobSpec {
+	step := smallStep(1)
 	step.LongRunning = true
 	return testJob(step)
 }
@@ -27,7 +27,7 @@
 // A new owner reads that a job was cancelled before it knows any worker's address.
 func TestNewOwnerStopsCancelledRunAgainAfterUnsentOrder(t *testing.T) {
 	e := newTestEngine()
-	e.AddJob("j", servingSpec(1), testStart)
+	e.AddJob("j", servingSpec(), testStart)
 	e.Restore("j", Running, nil, []TaskState{
 		{Task: TaskName{Job: "j"}, Phase: TaskPlaced, Run: 1, Worker: "w1", Incarnation: 1},
 	}, testStart)
@@ -40,26 +40,26 @@
 	assert.Equal(t, []StopOrder{stopOf(1)}, e.TakeStopOrders(), "the run is still active")
 }
 
-func TestStopOrderInFlightIsNotRepeated(t *testing.T) {
+// cancelledEngine returns an engine on whose worker w1 a run of job j is being stopped.
+func cancelledEngine(t *testing.T) *Engine {
 	e := newTestEngine("w1")
-	e.AddJob("j", servingSpec(1), testStart)
+	e.AddJob("j", servingSpec(), testStart)
 	e.ApplyReport("w1", WorkerReport{Incarnation: 1, Clock: time.Second}, time.Second)
 	e.Schedule(time.Second, testStart)
 	e.ApplyStarted(TaskName{Job: "j"}, 1, "w1", 1100*time.Millisecond)
 	e.Cancel("j")
 	require.Len(t, e.TakeStopOrders(), 1)
+	return e
+}
+
+func TestStopOrderInFlightIsNotRepeated(t *testing.T) {
+	e := cancelledEngine(t)
 	e.ApplyReport("w1", activeReport(2*time.Second, 1), 2*time.Second)
 	assert.Empty(t, e.TakeStopOrders())
 }
 
 func TestAcceptedStopIsRepeatedWhenRunOutlivesStopTimeout(t *testing.T) {
-	e := newTestEngine("w1")
-	e.AddJob("j", servingSpec(1), testStart)
-	e.ApplyReport("w1", WorkerReport{Incarnation: 1, Clock: time.Second}, time.Second)
-	e.Schedule(time.Second, testStart)
-	e.ApplyStarted(TaskName{Job: "j"}, 1, "w1", 1100*time.Millisecond)
-	e.Cancel("j")
-	require.Len(t, e.TakeStopOrders(), 1)
+	e := cancelledEngine(t)
 	e.ApplyStopped(TaskName{Job: "j"}, 1, "w1", 2*time.Second)
 
 	e.ApplyReport("w1", activeReport(2*time.Second+testSettings.StopTimeout, 1), 3*time.Second)
@@ -72,7 +72,7 @@
 // either. Until the worker accepts a stop, the run may still appear.
 func TestUnsentStopIsRepeatedForRunThatIsNotActiveYet(t *testing.T) {
 	e := newTestEngine("w1")
-	e.AddJob("j", servingSpec(1), testStart)
+	e.AddJob("j", servingSpec(), testStart)
 	e.ApplyReport("w1", WorkerReport{Incarnation: 1, Clock: time.Second}, time.Second)
 	e.Schedule(time.Second, testStart)
 	e.ApplyStartUnknown(TaskName{Job: "j"}, 1, "w1")
