--- a/internal/app/logtail/logtail.go
+++ b/internal/app/logtail/logtail.go
@@ -49,12 +49,13 @@
 	MaxWait func() time.Duration
 
 	recoveredAt atomic.Int64  // clock reading at which reads last succeeded again
-	lastRead    atomic.Int64  // clock reading at which the last successful read was sent
+	lastRead    atomic.Int64  // clock reading at which the last read that reached the topic's end was sent
 	offset      atomic.Uint64 // of the next record to read
 }
 
-// LastRead returns the clock reading at which the last successful read was sent,
-// zero before the first. What was appended after it may be missing.
+// LastRead returns the clock reading at which the last read that reached the topic's
+// end was sent, zero before the first. All that was appended before it has been
+// applied; what was appended after it may be missing.
 func (t *Tail) LastRead() time.Duration { return time.Duration(t.lastRead.Load()) }
 
 // RecoveredAt returns the clock reading at which reads last succeeded again after
@@ -70,18 +71,19 @@
 	for ctx.Err() == nil {
 		sent := t.Clock.Now()
 		var err error
+		var complete bool
 		if !loaded {
 			err = t.load(ctx)
-			loaded = err == nil
+			loaded, complete = err == nil, err == nil
 		} else {
-			err = t.read(ctx)
+			complete, err = t.read(ctx)
 			if port.KeyedLogTruncated.Has(err) {
 				t.Logger.WithField("topic", t.Topic).Warn("records at the read offset are no longer kept; loading the newest record of every key")
 				loaded = false
 				continue
 			}
 		}
-		if err == nil {
+		if complete {
 			t.lastRead.Store(int64(sent))
 		}
 		if failing != (err != nil) && ctx.Err() == nil {
@@ -132,8 +134,9 @@
 	return nil
 }
 
-// read waits for records at the offset and applies them.
-func (t *Tail) read(ctx context.Context) error {
+// read waits for records at the offset and applies them. It reports whether they
+// reach the topic's end.
+func (t *Tail) read(ctx context.Context) (complete bool, err error) {
 	wait := maxReadWait
 	if t.MaxWait != nil {
 		wait = min(wait, t.MaxWait())
@@ -142,16 +145,17 @@
 	batch, err := t.Log.Read(callCtx, t.Topic, t.Offset(), wait)
 	cancel()
 	if err != nil {
-		return err
+		return false, err
 	}
 	if len(batch.Records) == 0 {
-		return nil
+		return true, nil
 	}
 	next := batch.Records[len(batch.Records)-1].Offset + 1
-	t.Follower.Apply(batch.Records, next >= batch.End)
+	complete = next >= batch.End
+	t.Follower.Apply(batch.Records, complete)
 	t.offset.Store(next)
-	if delay := t.ReadPause(); delay > 0 && next >= batch.End {
+	if delay := t.ReadPause(); delay > 0 && complete {
 		pause.Sleep(ctx, delay)
 	}
-	return nil
+	return complete, nil
 }
