--- a/Makefile
+++ b/Makefile
@@ -47,8 +47,9 @@
 demo: build ## Run the demonstration on loopback (takes less than a minute)
 	bin/balsam-demo
 
-bench: build ## Measure scheduling decisions, then quick requests and idle programs on loopback
+bench: build ## Measure scheduling decisions and passes, then quick requests and idle programs on loopback
 	$(GO) run ./internal/tool/decisionbench
+	$(GO) test ./internal/core/dispatch -run '^$$' -bench Pass -benchtime 20x
 	bin/balsam-bench
 
 capacity: ## Measure the costs of each role and print the tables of docs/CAPACITY.md
