Ask for advice again when an answer is overdue; retry after pauses end

Change: an answer counts as lost after twice its expected latency and 0.3 s; a worker that becomes schedulable counts as a change.

Tests: the second fails without its change; the first plays a lost answer.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -38,6 +38,10 @@
 	// stepsPerAnswer is the number of steps without a free advisor that are tried again
 	// after an answer, which makes one advisor free.
 	stepsPerAnswer = 2
+	// An answer is overdue overdueFactor times its expected latency and overdueMargin
+	// after the request. The step then requests advice again.
+	overdueFactor = 2
+	overdueMargin = 300 * time.Millisecond
 	// adviceRetryDelay is the delay after a failed advice request.
 	adviceRetryDelay = 200 * time.Millisecond
 	// initialApprovalRate is assumed before the first answer for a queue.
@@ -50,7 +54,7 @@
 // workers and could use them. The workers are divided among several requests, which
 // the placement policy serves at the same time for different callers.
 func (e *Engine) requestAdvice(s *step, now time.Duration) {
-	if !e.requiresAdvice(s) || s.adviceCalls > 0 || now < s.adviceRetryAt {
+	if !e.requiresAdvice(s) || s.awaitsAdvice(now) || now < s.adviceRetryAt {
 		return
 	}
 	demand := s.spec.Size
@@ -71,7 +75,7 @@
 			ExpectedLatency: queue.AdviceDecision + time.Duration(len(chunk))*queue.AdvicePerWorker,
 		}
 		if !e.adviceInFlight.begin(request.ExpectedLatency, e.advisors) {
-			if s.adviceCalls == 0 {
+			if !s.awaitsAdvice(now) {
 				e.awaitingAdvisor = append(e.awaitingAdvisor, s)
 			}
 			return
@@ -82,10 +86,17 @@
 			c.worker.asked = c.worker.asked.Add(c.demand)
 		}
 		s.adviceCalls++
+		s.adviceOverdue = now + overdueFactor*request.ExpectedLatency + overdueMargin
 		e.adviceRequests = append(e.adviceRequests, request)
 	}
 }
 
+// awaitsAdvice reports whether an answer to an advice request of the step may still
+// arrive in time.
+func (s *step) awaitsAdvice(now time.Duration) bool {
+	return s.adviceCalls > 0 && now < s.adviceOverdue
+}
+
 // adviceBatch returns the number of workers in each request if the queue's policy is
 // asked about the given number of workers.
 func adviceBatch(queue *Queue, workers int) int {
--- a/internal/core/dispatch/index_test.go
+++ b/internal/core/dispatch/index_test.go
@@ -188,3 +188,36 @@
 	}
 	assert.Positive(t, urgent, "the urgent step asks for advice before the next full pass")
 }
+
+func TestStepAsksAgainWhenAnswerIsOverdue(t *testing.T) {
+	e := benchCell(200, 1)
+	e.Schedule(time.Second, testStart)
+	first := e.TakeAdviceRequests()
+	require.NotEmpty(t, first)
+	at := time.Second + overdueFactor*first[0].ExpectedLatency + overdueMargin
+	e.Schedule(at-10*time.Millisecond, testStart)
+	assert.Empty(t, e.TakeAdviceRequests())
+	e.Schedule(at+idlePassInterval, testStart)
+	assert.NotEmpty(t, e.TakeAdviceRequests(), "one lost answer must not hold the step up")
+	for _, request := range first { // late answers are used
+		e.ApplyAdvice(request, []Approval{{Worker: request.Workers[0], Ticket: "t"}}, 2500*time.Millisecond, at, at+idlePassInterval, nil)
+	}
+	e.Schedule(at+2*idlePassInterval, testStart)
+	assert.NotEmpty(t, e.TakeBatch().Starts)
+}
+
+// Nothing else happens in the cell when the pause ends.
+func TestTaskIsPlacedAfterPauseOfTheOnlyWorker(t *testing.T) {
+	e := newTestEngine("w1")
+	e.ApplyReport("w1", WorkerReport{Incarnation: 1, Clock: time.Second}, time.Second)
+	e.AddJob("j", testJob(smallStep(1)), testStart)
+	e.Schedule(time.Second, testStart)
+	order := e.TakeBatch().Starts[0]
+	e.ApplyStartRejected(order.Task, order.Run, order.Worker, "room", time.Second)
+	starts := 0
+	for now := time.Second; now < 2*time.Second; now += 50 * time.Millisecond {
+		e.Schedule(now, testStart.Add(now))
+		starts += len(e.TakeBatch().Starts)
+	}
+	assert.Equal(t, 1, starts)
+}
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -60,7 +60,7 @@
 		} else {
 			e.unreserved = e.remainderFor(queue.tiers[0].urgency)
 		}
-		if s.blockedVersion == e.version && s.blockedVersion != 0 && (!e.requiresAdvice(s) || s.adviceCalls > 0) {
+		if s.blockedVersion == e.version && s.blockedVersion != 0 && (!e.requiresAdvice(s) || s.awaitsAdvice(now)) {
 			e.reserveCapacity(s)
 			continue
 		}
--- a/internal/core/dispatch/readyqueue.go
+++ b/internal/core/dispatch/readyqueue.go
@@ -69,7 +69,11 @@
 		if w.listed && w.synced {
 			e.capacity = e.capacity.Add(w.info.Capacity)
 		}
-		w.counted = e.schedulable(w, now)
+		counted := e.schedulable(w, now)
+		if counted && !w.counted {
+			e.version++ // as after the end of a pause, or a report after a silence
+		}
+		w.counted = counted
 		if w.counted {
 			e.free = e.free.Add(w.free())
 		}
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -56,6 +56,7 @@
 	denied         map[model.VMID]bool // workers that the placement policy rejected
 	placedOn       map[*worker]int     // assigned tasks by worker; only kept if MaxPerWorker is set
 	adviceCalls    int                 // advice requests in flight
+	adviceOverdue  time.Duration       // time from which those count as lost
 	adviceRetryAt  time.Duration
 	reservedPass   int           // last full pass since which capacity is reserved for it
 	waitLoggedAt   time.Duration // when the reason for waiting was last logged
