Log when a process stood still, how long writes took and what a stop leaves behind

Now: a warning and a histogram of late timers, took_ms on each submission and cancellation, in_flight on 'node stopping' and 'node stopped'. No decision changes.

--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -144,7 +144,7 @@
 		_, known := s.Replica.State(id)
 		return known
 	})
-	s.logOutcome("submission", id, outcome, spec.Team)
+	s.logOutcome("submission", id, outcome, spec.Team, start)
 	metrics.GetOrCreateHistogram(fmt.Sprintf("balsam_submission_seconds{team=%q,outcome=%q}", spec.Team, outcome)).
 		Update((s.Clock.Now() - start).Seconds())
 	return outcome
@@ -161,11 +161,12 @@
 		s.Logger.WithError(err).WithField("job", id).Warn("encoding the cancellation failed; refusing it")
 		return Invalid
 	}
+	start := s.Clock.Now()
 	outcome := s.write(ctx, id, record, func() bool {
 		state, known := s.Replica.State(id)
 		return known && state.Ended()
 	})
-	s.logOutcome("cancellation", id, outcome, team)
+	s.logOutcome("cancellation", id, outcome, team, start)
 	return outcome
 }
 
@@ -231,9 +232,9 @@
 	}
 }
 
-// logOutcome logs the result of a write call; what names the call.
-func (s *Service) logOutcome(what string, id model.JobID, outcome Outcome, team string) {
-	fields := logrus.Fields{"job": id, "team": team, "policy_version": s.Policy.Get().Version, "owner": s.Replica.Owner().Node, "replica_age_ms": (s.Clock.Now() - s.Tail.LastRead()).Milliseconds()}
+// logOutcome logs the result of a write call that began at start; what names the call.
+func (s *Service) logOutcome(what string, id model.JobID, outcome Outcome, team string, start time.Duration) {
+	fields := logrus.Fields{"took_ms": (s.Clock.Now() - start).Milliseconds(), "job": id, "team": team, "policy_version": s.Policy.Get().Version, "owner": s.Replica.Owner().Node, "replica_age_ms": (s.Clock.Now() - s.Tail.LastRead()).Milliseconds()}
 	switch outcome {
 	case Done:
 		s.Logger.WithFields(fields).Info(what + " accepted")
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
 	"github.com/balsamhitch/balsamhitch/internal/app/probe"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
+	"github.com/balsamhitch/balsamhitch/internal/app/stallwatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/policy"
 	"github.com/balsamhitch/balsamhitch/internal/port"
@@ -185,6 +186,7 @@
 	go n.cellTail.Run(work)
 	go n.announce(work)
 	go n.candidate.Run(work)
+	go stallwatch.Run(work, n.clock, n.logger.WithField("part", "process"))
 	failed := make(chan error, 2)
 	go func() { failed <- n.ingress.Run() }()
 	if n.settings.MetricsAddress != "" {
@@ -224,7 +226,7 @@
 	lastExit := n.settings.Bounds.Shutdown() - exitMargin
 	n.stopping.Store(true)
 	n.ingress.Drain()
-	n.logger.Info("node stopping")
+	n.logger.WithFields(logrus.Fields{"owner": n.owner.Owning(), "in_flight": n.ingress.InFlight()}).Info("node stopping")
 	if n.owner.Owning() {
 		if err := n.candidate.HandOver(context.Background(), n.owner.Epoch(), n.owner.Owning); err != nil {
 			n.logger.WithError(err).Warn("handing over the cell failed; resigning")
@@ -236,12 +238,12 @@
 		if elapsed > lastExit-intake.LongestWrite {
 			n.service.RefuseWrites() // the answer to a later one could come too late
 		}
-		if elapsed > lastExit || elapsed > drainTime && n.ingress.Idle() {
+		if elapsed > lastExit || elapsed > drainTime && n.ingress.InFlight() == 0 {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	n.logger.Info("node stopped")
+	n.logger.WithFields(logrus.Fields{"after_ms": (n.clock.Now() - start).Milliseconds(), "in_flight": n.ingress.InFlight()}).Info("node stopped")
 }
 
 // announced reports whether the replica has this node's address and start time.
