Serve callers, probes and metrics through the poller of the Go runtime

Cause: hertz's default transport brings a poller of its own, which blocks a thread in epoll_wait. A VM of the cell has one processor; while that thread holds it, the Go scheduler runs no timer and reads no answer, until its monitor takes the processor back or something arrives from outside. Nodes did nothing for up to 1.7 s at a time, then in step with the platform's probes once a second; owners lost the cell to small VMs, appended a batch every half second and stayed there. Class: the progress of a process depends on a second scheduler. balsam-entry and the stand-ins have used the standard transport from the start.

Ruled out: processor time alone (a large VM stood still too, and a play without charged time stood still as well), the store (answers in 5 to 12 ms meanwhile).

Change: standard transport in all servers of a node. That transport ends at the first failed accept, so the listener of balsam-entry, which now has a folder of its own, tries again when descriptors run out. probe.New sets hertz's log level and is called before any server runs (the race detector found that).

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
+	"github.com/balsamhitch/balsamhitch/internal/adapter/callerlisten"
 	"github.com/balsamhitch/balsamhitch/internal/adapter/settings"
 	"github.com/balsamhitch/balsamhitch/internal/app/host"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -65,7 +66,7 @@
 	options      Options
 	logger       *logrus.Entry
 	hertz        *server.Hertz
-	listener     *limitedListener
+	listener     *callerlisten.Listener
 	stats        *stats
 	retryBudgets *retryBudgets
 	endRecorders *ants.Pool
@@ -114,7 +115,10 @@
 func (s *Server) serve() {
 	quietHertz()
 	set := s.options.Settings
-	s.listener = newLimitedListener(s.options.Listener, set.Limits.MaxConnections, set.Timeouts.Read)
+	s.listener = &callerlisten.Listener{
+		Listener: s.options.Listener, MaxConnections: set.Limits.MaxConnections, ReadTimeout: set.Timeouts.Read,
+		IdleGrace: callerlisten.DefaultIdleGrace, Logger: s.logger,
+	}
 	s.hertz = server.New(
 		server.WithListener(s.listener),
 		server.WithTransport(standard.NewTransporter),
@@ -145,7 +149,7 @@
 // in flight and closes the server. It returns an error if ctx is done before that.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
-	s.listener.stopAccepting()
+	s.listener.StopAccepting()
 	err := s.drain(ctx)
 	closing, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -159,7 +163,7 @@
 func (s *Server) drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
-	for s.listener.closeIdle() > 0 || s.inFlight.Load() > 0 {
+	for s.listener.CloseIdle() > 0 || s.inFlight.Load() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -306,9 +306,7 @@
 		require.NoError(t, err, i)
 		defer func() { _ = conn.Close() }()
 	}
-	c.entry.listener.mu.Lock()
-	assert.LessOrEqual(t, len(c.entry.listener.open), 8)
-	c.entry.listener.mu.Unlock()
+	assert.LessOrEqual(t, c.entry.listener.Open(), 8)
 }
 
 func FuzzParseJob(f *testing.F) {
@@ -341,7 +339,7 @@
 		return response.Close
 	}
 	assert.False(t, closes())
-	c.entry.listener.grace = time.Hour // only the answer closes the connection
+	c.entry.listener.IdleGrace = time.Hour // only the answer closes the connection
 	stopped := make(chan error, 1)
 	go func() { stopped <- c.entry.Shutdown(context.Background()) }()
 	require.Eventually(t, func() bool { return !c.entry.Ready() }, 30*time.Second, time.Millisecond)
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -145,8 +145,8 @@
 		Log: n.store, Clock: n.clock, Replica: n.replica, Tail: n.cellTail, Owner: n.owner,
 		Logger: n.logger.WithField("part", "tenure"), Stopping: n.stopping.Load, OwnerStopped: n.ownerStopped,
 	}
-	n.ingress = platform.NewIngress(n.service, settings.CallersAddress, settings.ReadinessAddress)
-	return n, nil
+	n.ingress, err = platform.NewIngress(n.service, settings.CallersAddress, settings.ReadinessAddress, logger.WithField("part", "ingress"))
+	return n, err
 }
 
 const (
@@ -188,10 +188,11 @@
 	go n.candidate.Run(work)
 	go stallwatch.Run(work, n.clock, n.logger.WithField("part", "process"))
 	failed := make(chan error, 2)
-	go func() { failed <- n.ingress.Run() }()
 	if n.settings.MetricsAddress != "" {
-		go func() { failed <- probe.New(n.settings.MetricsAddress, n.ingress.Ready).Run() }()
+		probes := probe.New(n.settings.MetricsAddress, n.ingress.Ready) // sets hertz's log level, so before any Run
+		go func() { failed <- probes.Run() }()
 	}
+	go func() { failed <- n.ingress.Run() }()
 	for {
 		select {
 		case err := <-failed:
--- a/internal/app/probe/probe.go
+++ b/internal/app/probe/probe.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/zeebo/errs"
 )
 
@@ -23,6 +24,7 @@
 	hlog.SetLevel(hlog.LevelError)
 	h := server.New(
 		server.WithHostPorts(address),
+		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
 	)
 	s := &Server{http: h}
