Claim the cell only in place of the owner that was judged

Cause: a node that learns that the owner of epoch E has stopped (it asks it, up to 200 ms) read the epoch to replace after that. When a successor was announced meanwhile, the node claimed the cell in place of the successor, with an append that was conditional on the successor's own claim. Class: a check on one version of a state, an act on a newer one.

Change: owner and time of the latest read are taken once; judgement, delay and claim rest on them. A heartbeat that arrives during the delay ends the attempt too.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -54,6 +54,9 @@
 	nodes  []atomic.Pointer[cellNode] // a restart replaces a node while callers use the others
 	jobs   []model.JobID
 	pool   *ants.Pool
+	// askOwner answers a node that asks the owner whether it has stopped; nil if no
+	// owner answers.
+	askOwner atomic.Pointer[func(asking *cellNode, owner replica.OwnerHeartbeat) bool]
 }
 
 var cellQueue = dispatch.Queue{Name: "q", Service: "pattern", MaxAttempts: 4, Slowdown: 4, BaseLatency: time.Second}
@@ -126,7 +129,10 @@
 		Node: name, Log: n.log, Clock: c.clock, Replica: n.replica, Tail: tail, Owner: n.cellDispatcher, Logger: logger,
 		Stopping: n.stopping.Load, ClaimDelay: func() time.Duration { return 0 },
 		Peers: &cellPeers{c, n}, Handovers: make(chan uint64, 1),
-		OwnerStopped: func(context.Context, replica.OwnerHeartbeat) bool { return false },
+		OwnerStopped: func(_ context.Context, owner replica.OwnerHeartbeat) bool {
+			ask := c.askOwner.Load()
+			return ask != nil && (*ask)(n, owner)
+		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
--- a/internal/app/election/election.go
+++ b/internal/app/election/election.go
@@ -82,19 +82,20 @@
 func (c *Candidate) Run(ctx context.Context) {
 	started := c.Clock.Now()
 	for ctx.Err() == nil {
-		if !c.ownerMissing(started) && !c.ownerStopped(ctx) || c.Stopping() {
+		lastRead := c.Tail.LastRead() // before the owner, whose heartbeats it must not outrun
+		owner := c.Replica.Owner()
+		if !c.ownerMissing(owner, lastRead, started) && !c.ownerStopped(ctx, owner) || c.Stopping() {
 			if epoch, ok := c.awaitHandover(ctx); ok {
 				c.serve(ctx, epoch)
 				started = c.Clock.Now()
 			}
 			continue
 		}
-		oldEpoch := c.Replica.Owner().Epoch
 		pause.Sleep(ctx, c.ClaimDelay()+rand.N(claimJitter))
-		if c.Replica.Owner().Epoch != oldEpoch || c.Stopping() || ctx.Err() != nil {
+		if c.recovered(owner) || c.Stopping() || ctx.Err() != nil {
 			continue
 		}
-		epoch, err := c.claim(ctx, oldEpoch)
+		epoch, err := c.claim(ctx, owner.Epoch)
 		if err != nil {
 			c.Logger.WithError(err).Info("claiming the cell failed; checking the owner again")
 			pause.Sleep(ctx, checkInterval+rand.N(claimJitter))
@@ -116,17 +117,22 @@
 	c.Logger.WithField("epoch", epoch).WithError(err).Warn("cell given up")
 }
 
+// recovered reports whether the cell has another owner than the given one by now, or
+// that one has written a heartbeat since.
+func (c *Candidate) recovered(owner replica.OwnerHeartbeat) bool {
+	current := c.Replica.Owner()
+	return current.Epoch != owner.Epoch || current.ReadAt != owner.ReadAt && !current.Resigned
+}
+
 // ownerMissing reports whether the cell needs a new owner: no owner is known, the
 // owner has resigned, or the latest read was sent long enough after the owner's last
 // heartbeat and returned no newer one. If the owner that has resigned is this node,
 // it reports true only minOwnerTimeout after started, which is when this node began
 // to follow the owner.
-func (c *Candidate) ownerMissing(started time.Duration) bool {
-	lastRead := c.Tail.LastRead()
+func (c *Candidate) ownerMissing(owner replica.OwnerHeartbeat, lastRead, started time.Duration) bool {
 	if lastRead == 0 {
 		return false
 	}
-	owner := c.Replica.Owner()
 	if owner.Epoch == 0 || owner.Resigned {
 		return owner.Node != c.Node || c.Clock.Now()-started > minOwnerTimeout
 	}
@@ -136,16 +142,17 @@
 }
 
 // OwnerOverdue reports whether the owner's next heartbeat is overdue.
-func (c *Candidate) OwnerOverdue() bool {
-	return c.Clock.Now()-c.Replica.Owner().ReadAt > overdueAfter
+func (c *Candidate) OwnerOverdue() bool { return c.overdue(c.Replica.Owner()) }
+
+func (c *Candidate) overdue(owner replica.OwnerHeartbeat) bool {
+	return c.Clock.Now()-owner.ReadAt > overdueAfter
 }
 
 // ownerStopped reports whether the owner no longer serves or its process has ended.
 // It calls the owner only if the owner's heartbeat is overdue, and otherwise returns
 // false.
-func (c *Candidate) ownerStopped(ctx context.Context) bool {
-	owner := c.Replica.Owner()
-	if !c.OwnerOverdue() || owner.Epoch == 0 || owner.Node == c.Node || c.Tail.LastRead() < owner.ReadAt {
+func (c *Candidate) ownerStopped(ctx context.Context, owner replica.OwnerHeartbeat) bool {
+	if !c.overdue(owner) || owner.Epoch == 0 || owner.Node == c.Node || c.Tail.LastRead() < owner.ReadAt {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, queryTimeout)
