Answer every request before a stopping node exits

Cause: the stop had three ways to leave a request unanswered. It exited at a fixed time with whatever was in flight. Handing over the cell ran before the loop that refuses writes and takes up to 3.2 s on a slow log, so that writes were still begun when their answers could only come after the exit; and LongestWrite, on which the refusal rests, was no bound: an attempt that began before giveUpAfter could wait for the owner and for two appends more. Calls were counted from the start of their handler to its end, so that a request already read and an answer not yet written did not keep the process alive. Class: bounds that are stated, not enforced.

Change: the handover runs beside the timeline and within it; 200 ms before the exit all calls end and answer with what is known; a write ends after LongestWrite; the process waits for connections with a request without a complete answer, closes idle ones and then exits. A call in flight at SIGTERM closes its connection too. hertz's log level is set in one place instead of three.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -12,13 +12,13 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
 	"github.com/balsamhitch/balsamhitch/internal/adapter/callerlisten"
+	"github.com/balsamhitch/balsamhitch/internal/adapter/hertzlog"
 	"github.com/balsamhitch/balsamhitch/internal/adapter/settings"
 	"github.com/balsamhitch/balsamhitch/internal/app/host"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -77,10 +77,6 @@
 	closed       chan struct{} // closed once the HTTP server has ended
 }
 
-// quietHertz silences hertz's own log. It has an effect once per process, since
-// hertz reads the level without a lock.
-var quietHertz = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
-
 // Start listens and serves callers in the background until Shutdown.
 func Start(options Options) (*Server, error) {
 	if options.Metrics == nil {
@@ -113,7 +109,7 @@
 }
 
 func (s *Server) serve() {
-	quietHertz()
+	hertzlog.OnlyErrors()
 	set := s.options.Settings
 	s.listener = &callerlisten.Listener{
 		Listener: s.options.Listener, MaxConnections: set.Limits.MaxConnections, ReadTimeout: set.Timeouts.Read,
--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -184,6 +184,8 @@
 // does no harm, since the record is the same each time. durable reports whether the
 // replica shows that the record has taken effect.
 func (s *Service) append(ctx context.Context, id model.JobID, record port.KeyedRecord, durable func() bool) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, LongestWrite)
+	defer cancel()
 	start := s.Clock.Now()
 	unknown := false
 	for {
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -53,11 +53,6 @@
 	// of package election.
 	undelayedNodes = 2
 	olderNodeDelay = 200 * time.Millisecond
-	// exitMargin is the time between a node's exit and the platform's kill.
-	exitMargin = 400 * time.Millisecond
-	// drainTime is how long a stopping node serves calls on open connections. Calls that
-	// are in flight then are still answered.
-	drainTime = 4 * time.Second
 	// memoryShare is the part of the VM's memory that is set as the Go
 	// runtime's memory limit.
 	memoryShare = 0.6
@@ -189,7 +184,7 @@
 	go stallwatch.Run(work, n.clock, n.logger.WithField("part", "process"))
 	failed := make(chan error, 2)
 	if n.settings.MetricsAddress != "" {
-		probes := probe.New(n.settings.MetricsAddress, n.ingress.Ready) // sets hertz's log level, so before any Run
+		probes := probe.New(n.settings.MetricsAddress, n.ingress.Ready)
 		go func() { failed <- probes.Run() }()
 	}
 	go func() { failed <- n.ingress.Run() }()
@@ -223,28 +218,22 @@
 // shutDown hands the cell over and continues to serve open connections until callers
 // have had the time to find other nodes.
 func (n *node) shutDown() {
-	start := n.clock.Now()
-	lastExit := n.settings.Bounds.Shutdown() - exitMargin
 	n.stopping.Store(true)
-	n.ingress.Drain()
-	n.logger.WithFields(logrus.Fields{"owner": n.owner.Owning(), "in_flight": n.ingress.InFlight()}).Info("node stopping")
+	stop := shutdown{
+		clock: n.clock, logger: n.logger, callers: n.ingress, refuseWrites: n.service.RefuseWrites,
+		handOver: n.handOver, killAfter: n.settings.Bounds.Shutdown(),
+	}
+	stop.run()
+}
+
+// handOver makes another node the owner of the cell if this one owns it.
+func (n *node) handOver(ctx context.Context) {
 	if n.owner.Owning() {
-		if err := n.candidate.HandOver(context.Background(), n.owner.Epoch(), n.owner.Owning); err != nil {
+		if err := n.candidate.HandOver(ctx, n.owner.Epoch(), n.owner.Owning); err != nil {
 			n.logger.WithError(err).Warn("handing over the cell failed; resigning")
 		}
 	}
 	n.owner.Resign()
-	for {
-		elapsed := n.clock.Now() - start
-		if elapsed > lastExit-intake.LongestWrite {
-			n.service.RefuseWrites() // the answer to a later one could come too late
-		}
-		if elapsed > lastExit || elapsed > drainTime && n.ingress.InFlight() == 0 {
-			break
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	n.logger.WithFields(logrus.Fields{"after_ms": (n.clock.Now() - start).Milliseconds(), "in_flight": n.ingress.InFlight()}).Info("node stopped")
 }
 
 // announced reports whether the replica has this node's address and start time.
--- a/internal/app/probe/probe.go
+++ b/internal/app/probe/probe.go
@@ -8,9 +8,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/zeebo/errs"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/hertzlog"
 )
 
 // Server serves /healthz, /readyz and /metrics.
@@ -21,7 +22,7 @@
 // New returns a server for the address. /readyz answers with status 200 if ready
 // returns true, otherwise with 503.
 func New(address string, ready func() bool) *Server {
-	hlog.SetLevel(hlog.LevelError)
+	hertzlog.OnlyErrors()
 	h := server.New(
 		server.WithHostPorts(address),
 		server.WithTransport(standard.NewTransporter),
--- a/internal/standin/httpserver/httpserver.go
+++ b/internal/standin/httpserver/httpserver.go
@@ -8,15 +8,14 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/zeebo/errs"
 
+	"github.com/balsamhitch/balsamhitch/internal/adapter/hertzlog"
 	"github.com/balsamhitch/balsamhitch/internal/adapter/platformapi"
 	"github.com/balsamhitch/balsamhitch/internal/history"
 	"github.com/balsamhitch/balsamhitch/internal/standin/fault"
@@ -31,10 +30,6 @@
 	jsonType     = "application/json"
 )
 
-// silenceHertzLog sets the log level only once, because Hertz reads it without a
-// lock.
-var silenceHertzLog = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
-
 // Options configures a server.
 type Options struct {
 	Listen      string // host:port; port 0 selects a free port
@@ -84,7 +79,7 @@
 	if options.Connections > 0 {
 		listener = &limitedListener{Listener: listener, limit: int64(options.Connections)}
 	}
-	silenceHertzLog()
+	hertzlog.OnlyErrors()
 	h := server.New(
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
