Wait for the first reports of half of the workers before a new owner's first batch

Mends the known failure TestPlannedStopBarelyDelaysJobs: the new owner's first append stored the waiting jobs without placing them, because no worker had reported to it, so that their starts took one append more. The owner now waits at most 100 ms, the time of a read of the worker list and a poll, for the reports of half of the workers.

--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -18,6 +18,8 @@
 
 // commitLoop runs commit rounds until the session ends.
 func (s *ownerSession) commitLoop(ctx context.Context) {
+	s.awaitReports(ctx)
+	s.wake() // for what arrived during the wait
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for ctx.Err() == nil {
@@ -37,6 +39,29 @@
 	}
 }
 
+// awaitReports waits for the first reports of half of the listed workers, for at most
+// firstReportsWait. A round before them would store the waiting jobs without placing
+// them, and their starts would take another append.
+func (s *ownerSession) awaitReports(ctx context.Context) {
+	deadline := time.NewTimer(firstReportsWait)
+	defer deadline.Stop()
+	for !s.halfReported() {
+		select {
+		case <-s.wakeup:
+		case <-deadline.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *ownerSession) halfReported() bool {
+	s.workersMu.Lock()
+	defer s.workersMu.Unlock()
+	return len(s.workers) > 0 && 2*int(s.firstReports.Load()) >= len(s.workers)
+}
+
 // commitRound schedules once, makes the decisions durable and sends the orders.
 // An error ends the session.
 func (s *ownerSession) commitRound(ctx context.Context) error {
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -195,8 +195,9 @@
 	mu     sync.Mutex // guards the engine
 	engine *dispatch.Engine
 
-	workersMu sync.Mutex
-	workers   map[model.VMID]*workerState
+	workersMu    sync.Mutex
+	workers      map[model.VMID]*workerState
+	firstReports atomic.Int64 // workers that have reported to this session
 
 	wakeup        chan struct{}
 	acksDurableMu sync.Mutex
@@ -220,6 +221,9 @@
 	heartbeatInterval = 250 * time.Millisecond
 	// commitPause batches decisions into one append.
 	commitPause = 8 * time.Millisecond
+	// firstReportsWait bounds the wait for the workers' first reports to a new owner,
+	// which take a read of the worker list and a poll.
+	firstReportsWait = 100 * time.Millisecond
 	// tickInterval is the time between two rounds when nothing else triggers one:
 	// some decisions depend on the time alone.
 	tickInterval = 50 * time.Millisecond
--- a/internal/app/dispatcher/workers.go
+++ b/internal/app/dispatcher/workers.go
@@ -247,6 +247,9 @@
 	s.mu.Lock()
 	s.engine.ApplyReport(id, report, now)
 	s.mu.Unlock()
+	if incarnation == 0 {
+		s.firstReports.Add(1)
+	}
 	if len(report.EndedRuns) > 0 || incarnation == 0 {
 		s.wake()
 	}
