Take over a handed over cell also while its former owner is missing

A successor that found the former owner silent did not look at the handover it had accepted; it tried claims of its own, which failed on the claim made for it, until that counted as expired after 700 ms. Found by reading, while looking for the same cause elsewhere.

Change: each round looks for a handover first. Test: TestHandedOverCellIsTakenWhileTheFormerOwnerIsMissing failed in 20 of 20 runs before, passes in 20 of 20.

--- a/internal/app/election/election.go
+++ b/internal/app/election/election.go
@@ -84,22 +84,24 @@
 	for ctx.Err() == nil {
 		lastRead := c.Tail.LastRead() // before the owner, whose heartbeats it must not outrun
 		owner := c.Replica.Owner()
-		if !c.ownerMissing(owner, lastRead, started) && !c.ownerStopped(ctx, owner) || c.Stopping() {
-			if epoch, ok := c.awaitHandover(ctx); ok {
-				c.serve(ctx, epoch)
-				started = c.Clock.Now()
+		missing := c.ownerMissing(owner, lastRead, started) || c.ownerStopped(ctx, owner)
+		epoch, handedOver := c.pendingHandover()
+		if !handedOver && (!missing || c.Stopping()) {
+			if epoch, handedOver = c.awaitHandover(ctx); !handedOver {
+				continue
 			}
-			continue
 		}
-		pause.Sleep(ctx, c.ClaimDelay()+rand.N(claimJitter))
-		if c.recovered(owner) || c.Stopping() || ctx.Err() != nil {
-			continue
-		}
-		epoch, err := c.claim(ctx, owner.Epoch)
-		if err != nil {
-			c.Logger.WithError(err).Info("claiming the cell failed; checking the owner again")
-			pause.Sleep(ctx, checkInterval+rand.N(claimJitter))
-			continue
+		if !handedOver {
+			pause.Sleep(ctx, c.ClaimDelay()+rand.N(claimJitter))
+			if c.recovered(owner) || c.Stopping() || ctx.Err() != nil {
+				continue
+			}
+			var err error
+			if epoch, err = c.claim(ctx, owner.Epoch); err != nil {
+				c.Logger.WithError(err).Info("claiming the cell failed; checking the owner again")
+				pause.Sleep(ctx, checkInterval+rand.N(claimJitter))
+				continue
+			}
 		}
 		c.serve(ctx, epoch)
 		started = c.Clock.Now()
--- a/internal/app/election/handover.go
+++ b/internal/app/election/handover.go
@@ -118,9 +118,18 @@
 	return ""
 }
 
-// awaitHandover waits up to checkInterval for a claim that another node has made
-// for this one. It returns the claim's epoch, and false if there is none or a newer
-// owner is known.
+// pendingHandover returns the epoch of a claim that another node has made for this
+// one, and false if there is none or a newer owner is known.
+func (c *Candidate) pendingHandover() (uint64, bool) {
+	select {
+	case epoch := <-c.Handovers:
+		return epoch, epoch > c.Replica.Owner().Epoch
+	default:
+		return 0, false
+	}
+}
+
+// awaitHandover is pendingHandover with a wait of up to checkInterval.
 func (c *Candidate) awaitHandover(ctx context.Context) (uint64, bool) {
 	timer := time.NewTimer(checkInterval)
 	defer timer.Stop()
