Never let orders to unresponsive workers block the owner's commit loop

Cause: the pool of order goroutines blocks its caller when all 256 wait for workers, up to 1.8 s each, and its caller is the commit loop, which also writes the heartbeat. The fallback for a full pool was never reached. Class: the progress of the owner depends on others.

Change: the pool does not block; an order beyond it gets a goroutine of its own, with a counter.

--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -189,10 +189,11 @@
 }
 
 // submit calls send on a goroutine of the order pool, or on one of its own if the
-// pool rejects it.
+// pool is full: orders to unresponsive workers hold their goroutines for seconds.
 func (s *ownerSession) submit(send func()) {
 	if err := s.Pool.Submit(send); err != nil {
-		s.Logger.WithError(err).Warn("order pool is unavailable; sending the order on a goroutine of its own")
+		metrics.GetOrCreateCounter("balsam_orders_beyond_pool_total").Inc()
+		s.Logger.WithError(err).Debug("order pool is full; sending the order on a goroutine of its own")
 		go send()
 	}
 }
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -36,7 +36,7 @@
 	workerConnections = 12
 	// idleWorkerConnections is the number of them that are kept open while unused.
 	idleWorkerConnections = 3
-	orderPoolSize         = 256 // orders in flight
+	orderPoolSize         = 256 // goroutines kept for orders in flight
 	// nonOwnerReadPause is the pause after a read of the cell's log on a node that is
 	// not the owner; callers see a job's end that much later.
 	nonOwnerReadPause = 100 * time.Millisecond
@@ -112,7 +112,7 @@
 		Follower:  &platform.OperatorFollower{ActivePolicy: n.policy, Logger: logger.WithField("part", "policy")},
 		ReadPause: func() time.Duration { return policyReadPause },
 	}
-	pool, err := ants.NewPool(orderPoolSize)
+	pool, err := ants.NewPool(orderPoolSize, ants.WithNonblocking(true)) // submitted to by the commit loop
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
