Replace a newer claim only after reads that were sent since it was made

Cause: a node that lost the race for the cell gave the winner 700 ms by its own clock to write a heartbeat; when it could not read the log in that time, it replaced a winner that did. The same class as: a check that rests on an old view.

Change: the time counts up to the last read that reached the topic's end, and a claim whose owner the replica already knows is not replaced on this path.

--- a/internal/app/celltest/election_test.go
+++ b/internal/app/celltest/election_test.go
@@ -1,15 +1,20 @@
 package celltest
 
 import (
+	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/election"
+	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
 	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
 	"github.com/balsamhitch/balsamhitch/internal/port"
@@ -75,3 +80,95 @@
 		c.close()
 	})
 }
+
+// deafLog loses the answers to reads while deaf.
+type deafLog struct {
+	port.KeyedLog
+	deaf atomic.Bool
+}
+
+func (l *deafLog) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (port.KeyedBatch, error) {
+	batch, err := l.KeyedLog.Read(ctx, topic, from, wait)
+	if l.deaf.Load() {
+		<-ctx.Done()
+		return port.KeyedBatch{}, ctx.Err()
+	}
+	return batch, err
+}
+
+// idleOwner records the epoch that it was asked to serve.
+type idleOwner struct{ epoch atomic.Uint64 }
+
+func (o *idleOwner) Serve(ctx context.Context, epoch uint64) error {
+	o.epoch.Store(epoch)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+type noPeers struct{}
+
+func (noPeers) OtherNodes() []string                                      { return nil }
+func (noPeers) CanTakeOver(context.Context, string) bool                  { return false }
+func (noPeers) NotifyOwner(context.Context, string, uint64, string) error { return nil }
+
+// beat writes heartbeats for an owner that is not part of the cell.
+func (c *cell) beat(ctx context.Context, node string, epoch uint64) {
+	for sequence := uint64(0); ctx.Err() == nil; sequence++ {
+		record, err := replica.OwnerRecord(epoch, node, false)
+		if err != nil {
+			c.t.Error(err)
+			return
+		}
+		_, err = c.log.Append(ctx, replica.CellTopic, []port.KeyedRecord{record}, port.AppendOptions{
+			Producer: &port.Producer{Name: "cell", Epoch: epoch, Sequence: sequence},
+		})
+		if err != nil && ctx.Err() == nil {
+			c.t.Error(err)
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
+func TestNodeThatReadsNothingDoesNotReplaceANewOwner(t *testing.T) {
+	for _, deafTime := range []time.Duration{500 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCell(t, 1, 1, cellWorkers)
+			time.Sleep(3 * time.Second)
+			first := c.node(0).cellDispatcher.Epoch()
+			logger, _ := test.NewNullLogger()
+			log := &deafLog{KeyedLog: c.log}
+			observed := replica.New(c.clock, logger)
+			tail := &logtail.Tail{
+				Log: log, Clock: c.clock, Topic: replica.CellTopic, Follower: observed, Logger: logger,
+				ReadPause: func() time.Duration { return 100 * time.Millisecond }, MaxWait: func() time.Duration { return 100 * time.Millisecond },
+			}
+			owner := &idleOwner{}
+			ctx, cancel := context.WithCancel(t.Context())
+			var once sync.Once
+			observer := &election.Candidate{
+				Node: "observer", Log: log, Clock: c.clock, Replica: observed, Tail: tail, Owner: owner, Logger: logger,
+				Stopping: func() bool { return false }, Peers: noPeers{}, Handovers: make(chan uint64, 1),
+				OwnerStopped: func(context.Context, replica.OwnerHeartbeat) bool { return false },
+				ClaimDelay: func() time.Duration {
+					once.Do(func() { // another node is faster, and the observer loses answers to reads
+						log.deaf.Store(true)
+						time.AfterFunc(deafTime, func() { log.deaf.Store(false) })
+						go c.beat(ctx, "second", c.claimFor("second", first))
+					})
+					return 0
+				},
+			}
+			go tail.Run(ctx)
+			go observer.Run(ctx)
+			time.Sleep(2 * time.Second)
+			c.kill(0)
+			time.Sleep(6 * time.Second)
+			assert.Zero(t, owner.epoch.Load(), "epoch of the observer, deaf for %v", deafTime)
+			assert.Equal(t, "second", observed.Owner().Node)
+			cancel()
+			time.Sleep(5 * time.Second)
+			c.restart(0)
+			c.close()
+		})
+	}
+}
--- a/internal/app/election/election.go
+++ b/internal/app/election/election.go
@@ -172,7 +172,7 @@
 		if err != nil {
 			return 0, err
 		}
-		if newest > oldEpoch && !c.claimExpired(newest) {
+		if newest > oldEpoch && (c.Replica.Owner().Epoch >= newest || !c.claimExpired(newest)) {
 			return 0, errs.New("another node has claimed the cell with epoch %d", newest)
 		}
 		end = topicEnd
@@ -203,12 +203,13 @@
 }
 
 // claimExpired reports whether the node that made a newer claim has had enough time
-// for its first heartbeat since this node first saw the claim.
+// for its first heartbeat since this node first saw the claim, and a read sent after
+// that time has returned none.
 func (c *Candidate) claimExpired(epoch uint64) bool {
 	if c.newerClaim != epoch {
 		c.newerClaim, c.newerClaimAt = epoch, c.Clock.Now()
 	}
-	return c.Clock.Now()-c.newerClaimAt > minOwnerTimeout
+	return c.Tail.LastRead()-c.newerClaimAt > minOwnerTimeout
 }
 
 // topicEnd returns the end of the owners' topic and the epoch of the newest
