Do not take the refusal of an earlier dial as proof that the owner has ended

Cause: while it waits to dial again, the peer client returns the error of its last dial; 'connection refused' from before the restart counted as proof that the owner's process has ended.

Change: errors without a dial of their own have a class, RedialPending, and prove nothing about the owner.

--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/zeebo/errs"
 
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
 	"github.com/balsamhitch/balsamhitch/internal/port"
@@ -81,6 +82,10 @@
 	return existing, nil
 }
 
+// RedialPending is the class of errors of calls for which nothing was dialed, for
+// example of an earlier dial: the address may be reachable again by now.
+var RedialPending = errs.Class("redial pending")
+
 // link manages the session to one address and redials it with exponential
 // backoff.
 type link struct {
@@ -104,15 +109,19 @@
 }
 
 // connect returns the open session or dials a new one. After a failed dial it
-// returns that dial's error until the backoff has expired.
+// returns that dial's error, of class RedialPending, until the backoff has expired.
 func (l *link) connect(ctx context.Context) (*session, error) {
-	for {
+	for dialed := false; ; {
 		session, dialDone, err := l.sessionOrDial()
+		if err != nil && !dialed {
+			err = RedialPending.Wrap(err)
+		}
 		if session != nil || err != nil {
 			return session, err
 		}
 		select {
 		case <-dialDone:
+			dialed = true
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
--- a/internal/app/node/peers.go
+++ b/internal/app/node/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/balsamhitch/balsamhitch/internal/adapter/peer"
 	"github.com/balsamhitch/balsamhitch/internal/app/advice"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
@@ -125,7 +126,7 @@
 func (n *node) ownerStopped(ctx context.Context, owner replica.OwnerHeartbeat) bool {
 	reply, err := n.call(ctx, owner.Node, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{Epoch: owner.Epoch}}})
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return errors.Is(err, syscall.ECONNREFUSED) && !peer.RedialPending.Has(err)
 	}
 	answer := reply.GetOwnerReply()
 	return answer != nil && !answer.GetServing()
