--- a/internal/app/entrymain/main.go
+++ b/internal/app/entrymain/main.go
@@ -88,7 +88,12 @@
 func serve(ctx context.Context, server *entry.Server, options settings.Entry, failed chan error, logger *logrus.Entry) error {
 	stopProbes := func() error { return nil }
 	if options.MetricsAddress != "" {
-		probes := probe.New(options.MetricsAddress, server.Ready)
+		probes, err := probe.New(options.MetricsAddress, server.Ready, logger)
+		if err != nil {
+			stopping, cancel := context.WithTimeout(context.Background(), options.Timeouts.Drain)
+			defer cancel()
+			return errs.Combine(err, server.Shutdown(stopping))
+		}
 		go func() { failed <- probes.Run() }()
 		stopProbes = func() error {
 			stopping, cancel := context.WithTimeout(context.Background(), probeStopTimeout)
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -184,7 +184,10 @@
 	go stallwatch.Run(work, n.clock, n.logger.WithField("part", "process"))
 	failed := make(chan error, 2)
 	if n.settings.MetricsAddress != "" {
-		probes := probe.New(n.settings.MetricsAddress, n.ingress.Ready)
+		probes, err := probe.New(n.settings.MetricsAddress, n.ingress.Ready, n.logger.WithField("part", "probe"))
+		if err != nil {
+			return err
+		}
 		go func() { failed <- probes.Run() }()
 	}
 	go func() { failed <- n.ingress.Run() }()
--- a/internal/app/node/servers_test.go
+++ b/internal/app/node/servers_test.go
@@ -31,7 +31,8 @@
 	callers, readiness, metricsAddress := freeAddress(t), freeAddress(t), freeAddress(t)
 	ingress, err := platform.NewIngress(intake.New(intake.Options{Policy: &policy.Current{}}), callers, readiness, logrus.New())
 	require.NoError(t, err)
-	probes := probe.New(metricsAddress, ingress.Ready)
+	probes, err := probe.New(metricsAddress, ingress.Ready, logrus.New())
+	require.NoError(t, err)
 	go func() { _ = probes.Run() }()
 	go func() { _ = ingress.Run() }()
 	for _, address := range []string{callers, readiness, metricsAddress} {
--- a/internal/app/probe/probe.go
+++ b/internal/app/probe/probe.go
@@ -9,8 +9,10 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
+	"github.com/balsamhitch/balsamhitch/internal/adapter/callerlisten"
 	"github.com/balsamhitch/balsamhitch/internal/adapter/hertzlog"
 )
 
@@ -19,12 +21,16 @@
 	http *server.Hertz
 }
 
-// New returns a server for the address. /readyz answers with status 200 if ready
-// returns true, otherwise with 503.
-func New(address string, ready func() bool) *Server {
+// New returns a server that listens on the address. /readyz answers with status 200 if
+// ready returns true, otherwise with 503.
+func New(address string, ready func() bool, logger logrus.FieldLogger) (*Server, error) {
+	listener, err := callerlisten.Listen(address, logger)
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
 	hertzlog.OnlyErrors()
 	h := server.New(
-		server.WithHostPorts(address),
+		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
 	)
@@ -43,11 +49,10 @@
 		c.SetContentType("text/plain; charset=utf-8")
 		metrics.WritePrometheus(c.Response.BodyWriter(), true)
 	})
-	return s
+	return s, nil
 }
 
-// Run serves until Shutdown. It returns an error if it cannot listen on the
-// address.
+// Run serves until Shutdown or until the listener fails for good.
 func (s *Server) Run() error {
 	return errs.Wrap(s.http.Run())
 }
--- a/internal/app/schedmain/main.go
+++ b/internal/app/schedmain/main.go
@@ -81,7 +81,10 @@
 	if err != nil {
 		return err
 	}
-	probes := probe.New(options.MetricsAddress, s.Ready)
+	probes, err := probe.New(options.MetricsAddress, s.Ready, logger)
+	if err != nil {
+		return err
+	}
 	failed := make(chan error, 2)
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
