--- a/internal/app/election/handover.go
+++ b/internal/app/election/handover.go
@@ -96,8 +96,8 @@
 	// The successor has accepted; this node serves until the successor's first append.
 	c.Logger.WithField("epoch", next).WithField("successor", successor).Info("cell handed over")
 	for notified := c.Clock.Now(); serving(); pause.Sleep(ctx, fenceCheckInterval) {
-		if c.Clock.Now()-notified > fenceTimeout {
-			return errs.New("%s has not taken over within %v", successor, fenceTimeout)
+		if ctx.Err() != nil || c.Clock.Now()-notified > fenceTimeout {
+			return errs.New("%s has not taken over within %v", successor, c.Clock.Now()-notified)
 		}
 	}
 	return nil
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/app/election"
 	"github.com/balsamhitch/balsamhitch/internal/app/intake"
 	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
+	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/app/probe"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
 	"github.com/balsamhitch/balsamhitch/internal/app/stallwatch"
@@ -229,7 +230,8 @@
 	stop.run()
 }
 
-// handOver makes another node the owner of the cell if this one owns it.
+// handOver makes another node the owner of the cell if this one owns it. It returns
+// once this node does not own the cell, or when the context ends.
 func (n *node) handOver(ctx context.Context) {
 	if n.owner.Owning() {
 		if err := n.candidate.HandOver(ctx, n.owner.Epoch(), n.owner.Owning); err != nil {
@@ -237,6 +239,9 @@
 		}
 	}
 	n.owner.Resign()
+	for n.owner.Owning() && ctx.Err() == nil {
+		pause.Sleep(ctx, shutdownCheckInterval)
+	}
 }
 
 // announced reports whether the replica has this node's address and start time.
