Measure idle connections by monotonic time

No test of its own: a jump of the time of day cannot be produced in a test; the reviewer showed it by shifting the stamps.

--- a/internal/adapter/callerlisten/listener.go
+++ b/internal/adapter/callerlisten/listener.go
@@ -29,6 +29,14 @@
 // file descriptors or memory.
 const acceptRetryPause = 50 * time.Millisecond
 
+var processStart = time.Now()
+
+// monotonic returns the time since the start of the process, in ns. It does not follow
+// jumps of the time of day.
+func monotonic() int64 { return int64(time.Since(processStart)) }
+
+func since(ns int64) time.Duration { return time.Duration(monotonic() - ns) }
+
 // Listener limits the number of connections and the time that a caller may
 // take to send one request, so that slow callers can't hold connections
 // indefinitely. The fields must not change while it is in use.
@@ -73,7 +81,7 @@
 			return nil, err
 		}
 		accepted := &conn{Conn: inner, listener: l}
-		accepted.idleSince.Store(time.Now().UnixNano())
+		accepted.idleSince.Store(monotonic())
 		if l.add(accepted) {
 			return accepted, nil
 		}
@@ -143,30 +151,30 @@
 type conn struct {
 	net.Conn
 	listener     *Listener
-	requestStart atomic.Int64 // Unix time in ns of the request's first byte, or 0
-	idleSince    atomic.Int64 // Unix time in ns of the accept or the last answer
+	requestStart atomic.Int64 // monotonic time in ns of the request's first byte, or 0
+	idleSince    atomic.Int64 // monotonic time in ns of the accept or the last answer
 	answering    atomic.Bool  // at least part of the answer has been written
 	once         sync.Once
 }
 
 func (c *conn) idle() bool {
-	return c.requestStart.Load() == 0 && time.Since(time.Unix(0, c.idleSince.Load())) > c.listener.IdleGrace
+	return c.requestStart.Load() == 0 && since(c.idleSince.Load()) > c.listener.IdleGrace
 }
 
 // Read implements net.Conn. It fails once the current request has been arriving
 // for longer than the listener's read timeout.
 func (c *conn) Read(p []byte) (int, error) {
-	since := c.requestStart.Load()
+	start := c.requestStart.Load()
 	if c.answering.Swap(false) {
-		since = 0 // the answer was sent; this read waits for the next request
+		start = 0 // the answer was sent; this read waits for the next request
 		c.requestStart.Store(0)
 	}
-	if limit := c.listener.ReadTimeout; since != 0 && limit > 0 && time.Since(time.Unix(0, since)) > limit {
+	if limit := c.listener.ReadTimeout; start != 0 && limit > 0 && since(start) > limit {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.ErrDeadlineExceeded}
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.requestStart.CompareAndSwap(0, time.Now().UnixNano())
+		c.requestStart.CompareAndSwap(0, monotonic())
 	}
 	return n, err
 }
@@ -174,7 +182,7 @@
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.idleSince.Store(time.Now().UnixNano())
+	c.idleSince.Store(monotonic())
 	c.answering.Store(true)
 	return n, err
 }
