--- a/internal/app/node/shutdown_test.go
+++ b/internal/app/node/shutdown_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/balsamhitch/balsamhitch/internal/adapter/callerlisten"
 	"github.com/balsamhitch/balsamhitch/internal/adapter/sysclock"
 	"github.com/balsamhitch/balsamhitch/internal/app/dispatcher"
 	"github.com/balsamhitch/balsamhitch/internal/app/intake"
@@ -27,12 +28,13 @@
 )
 
 // heldCalls is a set of calls, each of which is answered at a given time or when all
-// calls are ended.
+// calls are ended. Their handlers return writing before that.
 type heldCalls struct {
 	start    time.Time
 	answers  []time.Duration // since start, when the calls are answered
-	endedAt  time.Duration   // zero unless EndCalls was called
-	refused  time.Duration   // when writes were refused
+	writing  time.Duration
+	endedAt  time.Duration // zero unless EndCalls was called
+	refused  time.Duration // when writes were refused
 	draining bool
 }
 
@@ -40,16 +42,19 @@
 
 func (h *heldCalls) EndCalls() { h.endedAt = time.Since(h.start) }
 
-func (h *heldCalls) InFlight() int { return h.CloseIdle() }
+func (h *heldCalls) InFlight() int { return h.unanswered(h.writing) }
 
-func (h *heldCalls) CloseIdle() int {
-	open := 0
+func (h *heldCalls) CloseIdle() int { return h.unanswered(0) }
+
+// unanswered returns the number of calls that will not be answered within d.
+func (h *heldCalls) unanswered(d time.Duration) int {
+	count := 0
 	for _, answered := range h.answers {
-		if h.endedAt == 0 && time.Since(h.start) < answered {
-			open++
+		if h.endedAt == 0 && time.Since(h.start) < answered-d {
+			count++
 		}
 	}
-	return open
+	return count
 }
 
 // runShutdown runs a shutdown with a kill after 6 s and returns when it ended.
@@ -76,7 +81,7 @@
 
 func TestShutdownWaitsForTheLastAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		calls := &heldCalls{answers: []time.Duration{4700 * time.Millisecond}}
+		calls := &heldCalls{answers: []time.Duration{4700 * time.Millisecond}, writing: 700 * time.Millisecond}
 		took := runShutdown(calls, func(context.Context) {})
 		assert.GreaterOrEqual(t, took, 4700*time.Millisecond)
 		assert.Less(t, took, 4800*time.Millisecond)
@@ -117,6 +122,23 @@
 	assert.Zero(t, <-inFlight, "calls without an answer when the node stopped")
 }
 
+func TestIngressKeepsConnectionsWithARequestThatIsBeingRead(t *testing.T) {
+	n, address, _ := stoppableNode(t, 1500)
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "GET /q/ HTTP/1.1\r\nHost: h\r\nX-Api-Key")
+	require.NoError(t, err)
+	time.Sleep(2 * callerlisten.DefaultIdleGrace) // a connection without a request would count as idle
+	assert.Equal(t, 1, n.ingress.CloseIdle())
+	_, err = fmt.Fprintf(conn, ": k\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	require.NoError(t, response.Body.Close())
+}
+
 // downLog is a log that answers no append.
 type downLog struct{ port.KeyedLog }
 
