Give up tasks that crash their workers, and find which of the runs did it

What callers saw: a job whose task crashes each worker that starts it stayed "running" for good, and took one worker after another out of service.

Cause: a run that ended with its worker (lost, lapsed, broken) was started again without any count; only ends "failed" were counted.

Ruled out: counting every run on a crashed worker alike gives sound tasks up in the deadly one's stead.

Why this works: a newer incarnation of the worker without the run shows the crash, unless the stop was planned; after an expired lease the question stays open until the worker reports again. Count and evidence are part of the task's record, which the batch of the next placement repeats. Runs that had not been at work for 3 s are suspects and are placed apart from each other, so that the second crash names the one to blame; unconfirmed starts raise the hard limit, up to five workers in all. Members of a gang are told apart by worker, and blamed together where they share one.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -53,6 +53,7 @@
 	clock  *porttest.Clock
 	nodes  []atomic.Pointer[cellNode] // a restart replaces a node while callers use the others
 	jobs   []model.JobID
+	deadly map[int]bool // numbers of jobs whose first task is deadly
 	pool   *ants.Pool
 }
 
@@ -62,7 +63,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	c := &cell{
 		t: t, rng: rng, log: newMemLog(rand.New(rand.NewPCG(seed, 1))), fleet: newFleet(rand.New(rand.NewPCG(seed, 2)), workers),
-		policy: &policy.Current{}, clock: porttest.NewClock(nil, time.Hour, 0),
+		policy: &policy.Current{}, clock: porttest.NewClock(nil, time.Hour, 0), deadly: map[int]bool{},
 	}
 	pool, err := ants.NewPool(64)
 	require.NoError(t, err)
@@ -275,10 +276,16 @@
 	id := model.JobID(fmt.Sprintf("%016x", number))
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
-	c.fleet.jobs[id] = &submittedJob{
+	j := &submittedJob{
 		spec: spec, runTime: runTime,
 		completed: map[dispatch.TaskName]bool{}, acknowledged: map[dispatch.TaskName]bool{}, failures: map[dispatch.TaskName]int{},
+		failedRuns: map[dispatch.TaskName]int{}, deadly: map[dispatch.TaskName]bool{}, starts: map[dispatch.TaskName]int{},
+		crashes: map[dispatch.TaskName]int{}, afterCrashes: map[dispatch.TaskName]int{},
 	}
+	if c.deadly[number] {
+		j.deadly[dispatch.TaskName{Job: id}] = true
+	}
+	c.fleet.jobs[id] = j
 	return id
 }
 
@@ -318,6 +325,8 @@
 				continue
 			}
 			assert.True(c.t, state.Ended(), "job %s is %s at %s", id, state, n.name)
+			assert.False(c.t, state == dispatch.Failed && !c.fleet.jobs[id].mayFail(), "job %s is shown as failed without a cause at %s", id, n.name)
+			assert.False(c.t, state == dispatch.Completed && len(c.fleet.jobs[id].deadly) > 0, "job %s cannot be done and is shown as completed at %s", id, n.name)
 		}
 	}
 }
--- a/internal/app/celltest/checker_test.go
+++ b/internal/app/celltest/checker_test.go
@@ -11,12 +11,23 @@
 // the job may still start.
 const cancelGrace = 3 * time.Second
 
+const (
+	// crashLimit is the number of workers that may crash under a task.
+	crashLimit = 3
+	// giveUpLimit is the number of workers that must have crashed under a task before
+	// its job may be shown as failed.
+	giveUpLimit = 2
+	// startsAfterCrashLimit is the number of starts after crashLimit that breaks a rule.
+	startsAfterCrashLimit = 3
+)
+
 // checkStart records a violation for each rule that the start breaks. The caller
 // holds f.mu. The first word of a violation names the rule:
 //   - TWICE: a task runs once at a time, and not again after its end was acknowledged
 //   - LIMIT: the tasks of a worker fit its capacity
 //   - QUOTA: the tasks of a team stay within its upper limit
-//   - BUDGET: a task is not started again after MaxAttempts failed runs
+//   - BUDGET: a task is not started again after MaxAttempts failed runs, and a deadly one
+//     fewer than startsAfterCrashLimit times after crashLimit workers have crashed under it
 //   - UNASKED: a task starts only if its job was submitted and was not cancelled more
 //     than cancelGrace ago
 //   - ORDER: a task starts only after the steps that its step depends on
@@ -52,6 +63,12 @@
 	if maxAttempts := j.spec.Queue.MaxAttempts; !lasting && maxAttempts > 0 && j.failures[name] >= maxAttempts {
 		f.addViolation("BUDGET: %s starts after %d failures", name, j.failures[name])
 	}
+	if j.deadly[name] && j.crashes[name] >= crashLimit {
+		j.afterCrashes[name]++
+		if j.afterCrashes[name] >= startsAfterCrashLimit {
+			f.addViolation("BUDGET: %s starts for the %d. time after %d workers have crashed under it", name, j.afterCrashes[name], j.crashes[name])
+		}
+	}
 	if !j.cancelled.IsZero() && time.Since(j.cancelled) > cancelGrace {
 		f.addViolation("UNASKED: %s starts %v after its job was cancelled", name, time.Since(j.cancelled))
 	}
@@ -64,3 +81,22 @@
 		}
 	}
 }
+
+// mayFail reports whether the job may be shown as failed: giveUpLimit workers have
+// crashed under one of its tasks, or a task or gang has failed as often as its queue
+// allows.
+func (j *submittedJob) mayFail() bool {
+	for _, crashes := range j.crashes {
+		if crashes >= giveUpLimit {
+			return true
+		}
+	}
+	gangFailures := map[int]int{} // by step
+	for name, failures := range j.failedRuns {
+		gangFailures[name.Step] += failures
+		if failures >= j.spec.Queue.MaxAttempts || j.spec.Steps[name.Step].Gang && gangFailures[name.Step] >= j.spec.Queue.MaxAttempts {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/app/celltest/worker_test.go
+++ b/internal/app/celltest/worker_test.go
@@ -24,6 +24,7 @@
 
 	lateProbability float64                    // that an order gets no answer and is executed later
 	failProbability float64                    // that a run fails
+	silentCrashes   float64                    // probability that a deadly task crashes its worker before the start is answered
 	listDelay       time.Duration              // until an owner gets the first worker list
 	limits          map[string]model.Resources // upper limits by team
 }
@@ -37,6 +38,11 @@
 	completed    map[dispatch.TaskName]bool // ended with success on a worker, acknowledged or not
 	acknowledged map[dispatch.TaskName]bool // completed, and the end was acknowledged by the owner
 	failures     map[dispatch.TaskName]int
+	failedRuns   map[dispatch.TaskName]int  // ended as failed, acknowledged or not
+	deadly       map[dispatch.TaskName]bool // crash each worker that starts them
+	starts       map[dispatch.TaskName]int
+	crashes      map[dispatch.TaskName]int // of workers on which the task ran
+	afterCrashes map[dispatch.TaskName]int // starts after crashLimit of those
 }
 
 type fakeWorker struct {
@@ -51,6 +57,7 @@
 	highestRun   map[dispatch.TaskName]uint64 // highest run stopped or ended
 	lease        time.Duration                // expiry, on the worker's clock
 	disconnected bool                         // calls get no answer
+	down         bool                         // crashed and not restarted; calls get no answer
 	changed      chan struct{}                // closed and replaced when a run ends or the worker restarts
 }
 
@@ -66,6 +73,8 @@
 	stopTime    = 400 * time.Millisecond
 	gangTimeout = 3 * time.Second
 	answerDelay = 2 * time.Millisecond
+	// deadlyDelay is the maximum time from a deadly task's start to the crash.
+	deadlyDelay = 300 * time.Millisecond
 )
 
 func newFleet(rng *rand.Rand, count int) *fleet {
@@ -134,7 +143,7 @@
 	w := f.workers[id]
 	late := mayBeLate && f.rng.Float64() < f.lateProbability
 	delay := 2*time.Second + time.Duration(f.rng.IntN(10000))*time.Millisecond
-	if w.disconnected {
+	if w.disconnected || w.down {
 		f.mu.Unlock()
 		<-ctx.Done()
 		return ctx.Err()
@@ -145,15 +154,21 @@
 		time.AfterFunc(delay, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if w.startedAt.Equal(incarnation) {
+			if w.startedAt.Equal(incarnation) && !w.down {
 				_ = order(w)
 			}
 		})
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	defer f.mu.Unlock()
-	return order(w)
+	err := order(w)
+	down := w.down
+	f.mu.Unlock()
+	if down { // the order has crashed the worker
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
 }
 
 // checkToken rejects an order with an outdated fencing token and records a newer
@@ -194,11 +209,17 @@
 		return report, ctx.Err()
 	}
 	f.mu.Lock()
+	w := f.workers[target.ID]
+	if w.down {
+		f.mu.Unlock()
+		<-ctx.Done()
+		return report, ctx.Err()
+	}
 	defer f.mu.Unlock()
-	if f.workers[target.ID].disconnected {
+	if w.disconnected {
 		return report, errNoAnswer
 	}
-	return f.workers[target.ID].report(), nil
+	return w.report(), nil
 }
 
 func (w *fakeWorker) report() dispatch.WorkerReport {
@@ -278,9 +299,14 @@
 	}
 	f.checkStart(w, order, j)
 	w.running[order.Task] = &fakeRun{run: order.Run}
+	j.starts[order.Task]++
 	if j.firstStart.IsZero() {
 		j.firstStart = time.Now()
 	}
+	if j.deadly[order.Task] {
+		f.crashBy(w, order)
+		return
+	}
 	runTime := j.runTime
 	kind := dispatch.EndDone
 	if f.rng.Float64() < f.failProbability {
@@ -310,6 +336,9 @@
 	if j := w.fleet.jobs[name.Job]; j != nil && kind == dispatch.EndDone {
 		j.completed[name] = true
 	}
+	if j := w.fleet.jobs[name.Job]; j != nil && kind == dispatch.EndFailed {
+		j.failedRuns[name]++
+	}
 	w.highestRun[name] = max(w.highestRun[name], run.run)
 	w.lastSequence++
 	w.finished = append(w.finished, dispatch.EndedRun{Sequence: w.lastSequence, Task: name, Run: run.run, Kind: kind})
@@ -394,20 +423,59 @@
 	return clock, err
 }
 
-// crash restarts a worker under the same id. All its runs are lost.
+// crashBy makes a deadly task crash its worker, at once or soon. The worker restarts
+// after 2 to 4 s.
+func (f *fleet) crashBy(w *fakeWorker, order dispatch.StartOrder) {
+	downtime := 2*time.Second + time.Duration(f.rng.IntN(2000))*time.Millisecond
+	if f.rng.Float64() < f.silentCrashes {
+		w.crash(downtime)
+		return
+	}
+	incarnation := w.startedAt
+	time.AfterFunc(time.Duration(1+f.rng.IntN(int(deadlyDelay/time.Millisecond)))*time.Millisecond, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if run, ok := w.running[order.Task]; ok && run.run == order.Run && w.startedAt.Equal(incarnation) && !w.down {
+			w.crash(downtime)
+		}
+	})
+}
+
+// crash restarts a worker under the same id.
 func (f *fleet) crash(id model.VMID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := f.workers[id]
+	if w := f.workers[id]; !w.down {
+		w.crash(0)
+	}
+}
+
+// crash ends the worker's incarnation. All its runs are lost. It restarts under the
+// same id after the downtime.
+func (w *fakeWorker) crash(downtime time.Duration) {
 	names := make([]dispatch.TaskName, 0, len(w.running))
 	runs := make([]uint64, 0, len(w.running))
 	for name, run := range w.running {
 		names, runs = append(names, name), append(runs, run.run)
+		if j := w.fleet.jobs[name.Job]; j != nil {
+			j.crashes[name]++
+		}
+	}
+	if downtime == 0 {
+		w.reset()
+	} else {
+		w.down, w.running = true, map[dispatch.TaskName]*fakeRun{}
+		time.AfterFunc(downtime, func() {
+			w.fleet.mu.Lock()
+			defer w.fleet.mu.Unlock()
+			w.down = false
+			w.reset()
+			w.notify()
+		})
 	}
-	w.reset()
 	w.notify()
 	for i, name := range names {
-		f.breakGang(name, runs[i])
+		w.fleet.breakGang(name, runs[i])
 	}
 }
 
--- a/internal/app/dispatcher/upkeep.go
+++ b/internal/app/dispatcher/upkeep.go
@@ -144,7 +144,7 @@
 		}
 		delete(w.orderedWorkers, id)
 		s.mu.Lock()
-		s.engine.ExpireRuns(worker)
+		s.engine.EndRunsOfStopped(worker)
 		s.mu.Unlock()
 		s.wake()
 	}
--- a/internal/app/replica/records.go
+++ b/internal/app/replica/records.go
@@ -160,13 +160,37 @@
 		Task: name, Phase: phaseFromWire[r.GetPhase()], Run: r.GetRun(),
 		Worker: model.VMID(r.GetWorker()), Incarnation: r.GetLife(),
 		Failures: int(r.GetFailures()), Checkpoint: r.GetCheckpoint(), Unstarted: r.GetUnstarted(),
+		Crashes: crashesFromWire(r.GetCrashes()), Suspect: r.GetSuspect(),
 	}
 }
 
+func crashesFromWire(records []*logpb.CrashRecord) []dispatch.Crash {
+	var crashes []dispatch.Crash
+	for _, r := range records {
+		crashes = append(crashes, dispatch.Crash{
+			Worker: model.VMID(r.GetWorker()), Incarnation: r.GetLife(), Unresolved: r.GetUnresolved(),
+			Started: r.GetStarted(), Early: r.GetEarly(), Alone: r.GetAlone(), Explained: r.GetExplained(),
+		})
+	}
+	return crashes
+}
+
+func crashesToWire(crashes []dispatch.Crash) []*logpb.CrashRecord {
+	var records []*logpb.CrashRecord
+	for _, c := range crashes {
+		records = append(records, &logpb.CrashRecord{
+			Worker: string(c.Worker), Life: c.Incarnation, Unresolved: c.Unresolved,
+			Started: c.Started, Early: c.Early, Alone: c.Alone, Explained: c.Explained,
+		})
+	}
+	return records
+}
+
 func taskToWire(s dispatch.TaskState) *logpb.TaskRecord {
 	return &logpb.TaskRecord{
 		Phase: phaseToWire[s.Phase], Run: s.Run, Worker: string(s.Worker), Life: s.Incarnation,
 		Failures: uint32(s.Failures), Checkpoint: s.Checkpoint, Unstarted: s.Unstarted,
+		Crashes: crashesToWire(s.Crashes), Suspect: s.Suspect,
 	}
 }
 
--- a/internal/app/replica/replica_test.go
+++ b/internal/app/replica/replica_test.go
@@ -105,3 +105,21 @@
 	r.Load(records)
 	require.Equal(t, []string{"large-young", "large-old", "small-young", "unknown"}, r.PeersBySuitability("self"))
 }
+
+func TestTaskRecordKeepsCrashes(t *testing.T) {
+	state := dispatch.TaskState{
+		Task: dispatch.TaskName{Job: "a"}, Phase: dispatch.TaskPlaced, Run: 3, Worker: "w", Incarnation: 7, Suspect: true,
+		Crashes: []dispatch.Crash{
+			{Worker: "w1", Incarnation: 5, Started: true, Early: true, Alone: true, Explained: true},
+			{Worker: "w2", Incarnation: 6, Unresolved: true},
+		},
+	}
+	assert.Equal(t, state, TaskFromWire(state.Task, taskToWire(state)))
+}
+
+func TestTaskRecordWithoutCrashFieldsHasNone(t *testing.T) {
+	record := &logpb.TaskRecord{Phase: logpb.TaskRecord_PLACED, Run: 2, Worker: "w", Life: 1}
+	state := TaskFromWire(dispatch.TaskName{Job: "a"}, record)
+	assert.Empty(t, state.Crashes)
+	assert.False(t, state.Suspect)
+}
--- a/internal/core/dispatch/drain.go
+++ b/internal/core/dispatch/drain.go
@@ -13,6 +13,7 @@
 	for id, w := range e.workers {
 		if w.cordoned != cordoned[id] {
 			w.cordoned = cordoned[id]
+			w.plannedStop = w.plannedStop || w.cordoned
 			e.version++
 		}
 	}
--- a/internal/core/dispatch/index.go
+++ b/internal/core/dispatch/index.go
@@ -144,6 +144,9 @@
 	if n := c.planned[w]; n > 0 {
 		free = free.Sub(size.Scale(int64(n)))
 	}
+	if c.task.awaitsSeparation(c.now) && !e.separable(w, c.now) {
+		return false
+	}
 	if !size.Fits(free) || w.reservedPass == e.pass || !e.eligible(s, w, c.now) || !e.allowed(s, w, c.now) ||
 		!e.belowWorkerLimit(s, w, c.planned[w]) {
 		return false
--- a/internal/core/dispatch/jobs.go
+++ b/internal/core/dispatch/jobs.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -67,6 +68,13 @@
 	t := s.tasks[saved.Task.Index]
 	t.run, t.failures, t.checkpoint = saved.Run, saved.Failures, saved.Checkpoint
 	t.started = !saved.Unstarted
+	if len(saved.Crashes) > 0 {
+		t.crashes = slices.Clone(saved.Crashes)
+		e.crashed[t] = struct{}{}
+	}
+	if saved.Suspect && saved.Phase != TaskDone {
+		e.setSuspect(t)
+	}
 	j.runStarted = j.runStarted || t.started
 	if s.gang != nil {
 		s.gang.run = max(s.gang.run, saved.Run)
@@ -87,6 +95,9 @@
 		s.pending--
 		t.phase = placed
 		e.assign(t, e.worker(saved.Worker), saved.Incarnation)
+		if t.suspect {
+			e.separate(t)
+		}
 	}
 }
 
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -60,7 +61,7 @@
 		} else {
 			e.unreserved = e.remainderFor(queue.tiers[0].urgency)
 		}
-		if s.blockedVersion == e.version && s.blockedVersion != 0 && (!e.requiresAdvice(s) || s.awaitsAdvice(now)) {
+		if s.blockedVersion == e.version && s.blockedVersion != 0 && s.suspects == 0 && (!e.requiresAdvice(s) || s.awaitsAdvice(now)) {
 			e.reserveCapacity(s)
 			continue
 		}
@@ -85,25 +86,38 @@
 			continue
 		}
 		w := e.selectWorker(s, t, now, nil)
+		if w == nil && t.suspect {
+			continue // another task may fit where this one must not run
+		}
 		if w == nil {
-			e.requestAdvice(s, now)
-			return false
+			break
 		}
-		e.placeTask(t, w, t.run+1)
+		e.placeTask(t, w, t.run+1, now)
+	}
+	if s.pending > 0 {
+		e.requestAdvice(s, now)
+		return false
 	}
 	delete(e.ready, s)
 	return true
 }
 
-func (e *Engine) placeTask(t *task, w *worker, run uint64) {
+func (e *Engine) placeTask(t *task, w *worker, run uint64, now time.Duration) {
 	s := t.step
+	separated := t.awaitsSeparation(now)
 	t.run = run
 	t.phase = placed
 	e.free = e.free.Sub(s.spec.footprint())
 	s.pending--
 	e.assign(t, w, w.incarnation)
+	if separated {
+		e.separate(t)
+	}
 	e.record(t)
 	e.event("run_placed", t, "")
+	if t.suspect {
+		e.event("suspect_placed", t, fmt.Sprintf("apart: %t, runs beside it: %d, after crashes of %s", separated, len(w.tasks)-1, t.crashes))
+	}
 	order := StartOrder{
 		Task: t.name(), Run: run, Worker: w.info.ID, Incarnation: w.incarnation,
 		Payload: s.occurrence.job.spec.Payload, Ticket: s.tickets[w.info.ID].value,
@@ -146,7 +160,7 @@
 	s.gang.run++
 	for i, t := range s.tasks {
 		t.checkpoint = s.gang.checkpoint
-		e.placeTask(t, chosen[i], s.gang.run)
+		e.placeTask(t, chosen[i], s.gang.run, now)
 	}
 	delete(e.ready, s)
 	return true
@@ -204,7 +218,7 @@
 
 // schedulable reports whether the worker may get new tasks now.
 func (e *Engine) schedulable(w *worker, now time.Duration) bool {
-	return w.listed && w.synced && !w.cordoned && !w.info.Draining && w.info.Incarnation == w.incarnation &&
+	return w.listed && w.synced && w.suspects == 0 && !w.cordoned && !w.info.Draining && w.info.Incarnation == w.incarnation &&
 		!e.outOfService[w.info.Domain] && len(w.orphaned) == 0 &&
 		now-w.lastReport <= e.settings.MaxReportAge && !w.health.paused(now)
 }
@@ -262,6 +276,9 @@
 	if t.failedOn == w.info.ID {
 		points -= failedHerePenalty
 	}
+	if t.suspect {
+		points -= t.separationPenalty(w)
+	}
 	return points - failurePenalty*float64(w.health.failures)
 }
 
@@ -296,10 +313,15 @@
 	for _, t := range w.tasks {
 		list = append(list, t)
 	}
+	sortTasks(list)
+	return list
+}
+
+// sortTasks sorts the tasks by name.
+func sortTasks(list []*task) {
 	slices.SortFunc(list, func(a, b *task) int {
 		x, y := a.name(), b.name()
 		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Occurrence, y.Occurrence),
 			cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index))
 	})
-	return list
 }
--- a/internal/core/dispatch/readyqueue.go
+++ b/internal/core/dispatch/readyqueue.go
@@ -64,9 +64,10 @@
 // sumCapacity updates the total capacity of the listed workers that have reported, and
 // what is free of it on the schedulable ones.
 func (e *Engine) sumCapacity(now time.Duration) {
-	e.free, e.capacity = model.Resources{}, model.Resources{}
+	e.free, e.capacity, e.listedWorkers = model.Resources{}, model.Resources{}, 0
 	for _, w := range e.workers {
 		if w.listed && w.synced {
+			e.listedWorkers++
 			e.capacity = e.capacity.Add(w.info.Capacity)
 		}
 		counted := e.schedulable(w, now)
--- a/internal/core/dispatch/reports.go
+++ b/internal/core/dispatch/reports.go
@@ -17,6 +17,7 @@
 	if w.synced && report.Incarnation < w.incarnation {
 		return // late report of a previous incarnation
 	}
+	e.resolveCrashes(id, report.Incarnation)
 	if report.Incarnation != w.incarnation {
 		e.applyRestart(w, report)
 	}
@@ -62,6 +63,7 @@
 // of the previous one have ended. A start order that was in flight may have reached
 // the new incarnation, which then reports the run.
 func (e *Engine) applyRestart(w *worker, report WorkerReport) {
+	draining := w.info.Draining && w.info.Incarnation == report.Incarnation
 	w.incarnation, w.acked, w.handled = report.Incarnation, 0, 0
 	w.info.Incarnation = report.Incarnation
 	clear(w.orphaned)
@@ -73,17 +75,29 @@
 	for _, ended := range report.EndedRuns {
 		reported[ended.Task] = max(reported[ended.Task], ended.Run)
 	}
+	var lost []*task
 	for _, t := range w.sortedTasks() {
 		if t.incarnation == report.Incarnation {
 			continue
 		}
 		if run, ok := reported[t.name()]; ok && run == t.run {
 			t.incarnation = report.Incarnation
+			t.workedFrom, t.workedUntil = 0, 0
 			continue
 		}
+		lost = append(lost, t)
+	}
+	if !w.plannedStop {
+		e.attributeCrash(w, lost, report.Incarnation)
+	}
+	w.plannedStop = w.cordoned || draining
+	for _, t := range lost {
 		e.runEnded(t, EndLost, "")
 		e.afterRunEnd(t)
 	}
+	for _, t := range lost {
+		e.checkCrashes(t)
+	}
 }
 
 // ApplyAck records that the worker's ends up to the sequence number are durable.
@@ -145,6 +159,7 @@
 		if t.phase == running {
 			t.confirmedAt = max(t.confirmedAt, report.Clock)
 		}
+		e.noteWork(t, report.Clock)
 		t.percent = active.Percent
 		if active.Checkpoint != "" {
 			t.checkpoint = active.Checkpoint
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -23,6 +23,7 @@
 	t.worker, t.incarnation = w, incarnation
 	t.confirmedAt, t.adopted, t.percent = 0, false, 0
 	t.orderedPace = fullPace
+	t.workedFrom, t.workedUntil, t.pendingSince = 0, 0, 0
 	w.used = w.used.Add(t.step.spec.footprint())
 	w.tasks[t.name()] = t
 	if t.step.placedOn != nil {
@@ -42,6 +43,7 @@
 	if w == nil {
 		return
 	}
+	e.endSeparation(t)
 	t.worker = nil
 	w.used = w.used.Sub(t.step.spec.footprint())
 	delete(w.tasks, t.name())
@@ -70,6 +72,9 @@
 		if !w.listed || w.info.Draining != info.Draining {
 			e.version++
 		}
+		if info.Draining && (info.Incarnation == w.incarnation || w.incarnation == 0) {
+			w.plannedStop = true
+		}
 		if info.Incarnation < w.incarnation {
 			info.Incarnation = w.incarnation // the list is older than the worker's last report
 		}
@@ -105,6 +110,7 @@
 	t.phase = running
 	e.runStarted(t)
 	t.confirmedAt = clock
+	e.noteWork(t, clock)
 }
 
 // runStarted records that a run of the task is known to have started.
@@ -204,19 +210,32 @@
 	}
 }
 
-// ExpireRuns ends all runs on a worker whose leases have certainly expired.
+// ExpireRuns ends all runs on a worker whose leases have certainly expired. Unless its
+// stop was planned, the worker may have crashed.
 func (e *Engine) ExpireRuns(id model.VMID) {
 	w, ok := e.workers[id]
 	if !ok {
 		return
 	}
 	for _, t := range w.sortedTasks() {
+		if !w.plannedStop {
+			e.noteUnresolved(t)
+		}
 		e.runEnded(t, EndExpired, "")
 		e.afterRunEnd(t)
+		e.checkCrashes(t)
 	}
 	clear(w.orphaned)
 }
 
+// EndRunsOfStopped ends all runs on a worker that was stopped for upkeep.
+func (e *Engine) EndRunsOfStopped(id model.VMID) {
+	if w, ok := e.workers[id]; ok {
+		w.plannedStop = true
+		e.ExpireRuns(id)
+	}
+}
+
 // HasTasks reports whether runs may be active on the worker.
 func (e *Engine) HasTasks(id model.VMID) bool {
 	w, ok := e.workers[id]
@@ -228,6 +247,9 @@
 func (e *Engine) runEnded(t *task, kind EndKind, checkpoint string) {
 	s := t.step
 	wasStopping := t.phase == stopping
+	if kind == EndDone || kind == EndFailed {
+		e.clearSuspect(t, "its run ended "+string(kind))
+	}
 	e.event("run_"+string(kind), t, "")
 	e.release(t)
 	if checkpoint != "" {
--- a/internal/core/dispatch/spec.go
+++ b/internal/core/dispatch/spec.go
@@ -296,6 +296,8 @@
 	// task is pending again or being stopped. It is false while a start is awaited, so
 	// that a placed task counts as started.
 	Unstarted bool
+	Crashes   []Crash // of workers under runs of the task, oldest first
+	Suspect   bool    // a run of the task may have crashed its worker
 }
 
 // Batch holds the results of a round of decisions: records that must be durable
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -50,6 +51,7 @@
 	tasks         []*task
 	unfinished    int // tasks that are not done
 	pending       int // tasks in the pending phase
+	suspects      int // tasks that are suspects
 	gang          *gang
 
 	tickets        map[model.VMID]ticket
@@ -103,6 +105,14 @@
 	percent     int  // share of the full work rate last reported by the worker
 	// stopOrdered reports that a stop order for the run is queued or being sent.
 	stopOrdered bool
+	// workedFrom and workedUntil are the readings of the worker's clock when it first
+	// and last confirmed the current run, zero before that.
+	workedFrom, workedUntil time.Duration
+	crashes                 crashHistory // of workers under runs of the task
+	suspect                 bool         // a run of the task may have crashed its worker
+	separated               bool         // no task is placed beside the current run
+	// pendingSince is when a suspect was first tried to be placed since its last run.
+	pendingSince time.Duration
 }
 
 func (t *task) name() TaskName {
@@ -111,7 +121,10 @@
 }
 
 func (t *task) state() TaskState {
-	state := TaskState{Task: t.name(), Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
+	state := TaskState{
+		Task: t.name(), Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint,
+		Crashes: slices.Clone(t.crashes), Suspect: t.suspect,
+	}
 	state.Unstarted = !t.started && (t.phase == pending || t.phase == stopping)
 	switch t.phase {
 	case pending:
@@ -133,6 +146,8 @@
 	listed        bool  // on the worker list
 	cordoned      bool  // gets no new tasks; it is drained for upkeep
 	incarnation   int64 // from the worker's own reports; zero before the first
+	plannedStop   bool  // the incarnation was drained or stopped for upkeep
+	suspects      int   // separated runs
 	synced        bool  // has reported since this engine was created
 	lastReport    time.Duration
 	used          model.Resources
@@ -191,8 +206,11 @@
 	indexes map[string]*workerIndex         // listed workers by service
 	byLabel map[string]map[*worker]struct{} // by label and rack
 	// classes holds the classes of all workers that were ever on the worker list.
-	classes map[workerClass]struct{}
-	jobs    map[model.JobID]*job
+	classes       map[workerClass]struct{}
+	jobs          map[model.JobID]*job
+	crashed       map[*task]struct{} // tasks that may have crashes
+	separatedRuns int                // runs of suspects beside which nothing is placed
+	listedWorkers int                // at the last full pass
 	// purged and purgedBefore hold the ids of purged jobs, in two generations.
 	purged                map[model.JobID]bool
 	purgedBefore          map[model.JobID]bool
@@ -261,6 +279,7 @@
 		policyVersion:         1,
 		classes:               map[workerClass]struct{}{},
 		jobs:                  map[model.JobID]*job{},
+		crashed:               map[*task]struct{}{},
 		reserved:              map[*team]model.Resources{},
 		purged:                map[model.JobID]bool{},
 		ready:                 map[*step]struct{}{},
