Use capacity that grows back, and the free capacity beside an overcommitted worker

What callers saw: nothing yet; found by reading for workers whose capacity shrinks and grows while they run. Jobs would have waited beside free workers.

Cause: three faults of the engine once a worker offers less than runs on it. A step that found no room was not tried again when only a capacity grew. A worker that runs more than it offers counted as negative free capacity, so that the cell's sum hid what others had free. Each capacity ever seen was kept as a class of workers of its own, which each submission goes through.

Ruled out: starts over the capacity on a current list.

Why this works: growth counts as a change, negative capacity as none, and a class keeps the most that its workers have offered.

--- a/internal/app/celltest/worker_test.go
+++ b/internal/app/celltest/worker_test.go
@@ -57,6 +57,8 @@
 	highestRun   map[dispatch.TaskName]uint64 // highest run stopped or ended
 	lease        time.Duration                // expiry, on the worker's clock
 	disconnected bool                         // calls get no answer
+	late         bool                         // a late order is being executed
+	offers       []offer                      // of the incarnation, oldest first; the last one is info.Capacity
 	down         bool                         // crashed and not restarted; calls get no answer
 	changed      chan struct{}                // closed and replaced when a run ends or the worker restarts
 }
@@ -103,6 +105,7 @@
 	w.highestRun = map[dispatch.TaskName]uint64{}
 	w.finished = nil
 	w.expired = map[uint64]bool{}
+	w.offers = []offer{{since: w.startedAt, capacity: w.info.Capacity}}
 }
 
 // clock returns the time since the start of the incarnation; it is never zero.
@@ -155,7 +158,9 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if w.startedAt.Equal(incarnation) && !w.down {
+				w.late = true
 				_ = order(w)
+				w.late = false
 			}
 		})
 		<-ctx.Done()
--- a/internal/core/dispatch/feasibility.go
+++ b/internal/core/dispatch/feasibility.go
@@ -8,7 +8,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
 
-// workerClass identifies workers that offer the same service, capacity and labels.
+// workerClass is a kind of worker: its service, labels and capacity.
 type workerClass struct {
 	service  string
 	capacity model.Resources
@@ -25,6 +25,23 @@
 	return w.info.Service == info.Service && w.info.Capacity == info.Capacity && slices.Equal(w.info.Labels, info.Labels)
 }
 
+// addClass adds a class unless a known one offers at least as much, and removes those
+// that offer less. A worker's capacity may shrink and grow while it runs.
+func (e *Engine) addClass(added workerClass) {
+	for class := range e.classes {
+		if class.service != added.service || class.labels != added.labels {
+			continue
+		}
+		if added.capacity.Fits(class.capacity) {
+			return
+		}
+		if class.capacity.Fits(added.capacity) {
+			delete(e.classes, class)
+		}
+	}
+	e.classes[added] = struct{}{}
+}
+
 func (c *workerClass) hasLabel(label string) bool {
 	return label == "" || strings.HasPrefix(c.labels, label+"\n") || strings.Contains(c.labels, "\n"+label+"\n")
 }
--- a/internal/core/dispatch/readyqueue.go
+++ b/internal/core/dispatch/readyqueue.go
@@ -76,7 +76,7 @@
 		}
 		w.counted = counted
 		if w.counted {
-			e.free = e.free.Add(w.free())
+			e.free = e.free.Add(w.free().Max(model.Resources{})) // an overcommitted worker takes nothing from others
 		}
 	}
 }
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -69,7 +69,7 @@
 	for _, info := range list {
 		present[info.ID] = true
 		w := e.worker(info.ID)
-		if !w.listed || w.info.Draining != info.Draining {
+		if !w.listed || w.info.Draining != info.Draining || !info.Capacity.Fits(w.info.Capacity) {
 			e.version++
 		}
 		if info.Draining && (info.Incarnation == w.incarnation || w.incarnation == 0) {
@@ -79,7 +79,7 @@
 			info.Incarnation = w.incarnation // the list is older than the worker's last report
 		}
 		if !w.sameClass(info) {
-			e.classes[classOf(info)] = struct{}{}
+			e.addClass(classOf(info))
 		}
 		if !w.listed || w.info.Rack != info.Rack || !slices.Equal(w.info.Labels, info.Labels) {
 			e.relabel(w, append(slices.Clone(info.Labels), info.Rack))
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -205,7 +205,8 @@
 	workers map[model.VMID]*worker
 	indexes map[string]*workerIndex         // listed workers by service
 	byLabel map[string]map[*worker]struct{} // by label and rack
-	// classes holds the classes of all workers that were ever on the worker list.
+	// classes holds the classes of all workers that were ever on the worker list, each
+	// with the most that its workers have offered.
 	classes       map[workerClass]struct{}
 	jobs          map[model.JobID]*job
 	crashed       map[*task]struct{} // tasks that may have crashes
