Give up a task whose crashed workers never come back under their ids

Cause: a crash counts once its worker reports again as another incarnation. A worker that returns under another id never does, so that the crashes under a deadly task stayed unresolved, and counted only beside two resolved ones.

Ruled out: counting an unresolved crash like a resolved one would fail tasks of workers that were only cut off.

Why this works: five crashes, resolved or not, are the limit. Workers that were cut off take theirs back when they report again as the same incarnation.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -65,6 +65,7 @@
 		t: t, rng: rng, log: newMemLog(rand.New(rand.NewPCG(seed, 1))), fleet: newFleet(rand.New(rand.NewPCG(seed, 2)), workers),
 		policy: &policy.Current{}, clock: porttest.NewClock(nil, time.Hour, 0), deadly: map[int]bool{},
 	}
+	c.fleet.clock = c.clock
 	pool, err := ants.NewPool(64)
 	require.NoError(t, err)
 	c.pool = pool
--- a/internal/app/celltest/checker_test.go
+++ b/internal/app/celltest/checker_test.go
@@ -100,7 +100,7 @@
 }
 
 // fits reports whether the worker offers the resources, or has offered them within
-// shrinkGrace. For a late order all offers of the incarnation count.
+// shrinkGrace. For a late order all offers count.
 func (w *fakeWorker) fits(used model.Resources) bool {
 	for i, o := range w.offers {
 		ended := i+1 < len(w.offers) && time.Since(w.offers[i+1].since) > shrinkGrace
--- a/internal/app/celltest/deadly_test.go
+++ b/internal/app/celltest/deadly_test.go
@@ -176,6 +176,20 @@
 	})
 }
 
+func TestDeadlyTaskIsGivenUpWhenWorkersReturnUnderOtherIDs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 3, cellWorkers)
+		c.fleet.newIDs = true
+		time.Sleep(3 * time.Second)
+		id := c.submitDeadly(0, smallSpec(), time.Second)
+		time.Sleep(90 * time.Second)
+		assert.Equal(t, dispatch.Failed, c.stateOf(id))
+		assert.Less(t, c.startsOf(id), crashLimit+startsAfterCrashLimit)
+		c.check()
+		c.close()
+	})
+}
+
 func TestDeadlyOrdersExecutedLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 1, 3, cellWorkers)
--- a/internal/app/celltest/worker_test.go
+++ b/internal/app/celltest/worker_test.go
@@ -21,11 +21,15 @@
 	jobs       map[model.JobID]*submittedJob
 	gangs      map[string]*fakeGang
 	violations []string
-
-	lateProbability float64                    // that an order gets no answer and is executed later
-	failProbability float64                    // that a run fails
-	silentCrashes   float64                    // probability that a deadly task crashes its worker before the start is answered
-	listDelay       time.Duration              // until an owner gets the first worker list
+	newIDs     bool // workers return under another id after a crash
+
+	lateProbability float64       // that an order gets no answer and is executed later
+	failProbability float64       // that a run fails
+	silentCrashes   float64       // probability that a deadly task crashes its worker before the start is answered
+	listDelay       time.Duration // until an owner gets the first worker list
+	listFrozen      bool          // owners get no new worker list
+	listRead        time.Duration // clock reading of the last worker list
+	clock           port.Clock
 	limits          map[string]model.Resources // upper limits by team
 }
 
@@ -58,7 +62,7 @@
 	lease        time.Duration                // expiry, on the worker's clock
 	disconnected bool                         // calls get no answer
 	late         bool                         // a late order is being executed
-	offers       []offer                      // of the incarnation, oldest first; the last one is info.Capacity
+	offers       []offer                      // oldest first; the last one is info.Capacity
 	down         bool                         // crashed and not restarted; calls get no answer
 	changed      chan struct{}                // closed and replaced when a run ends or the worker restarts
 }
@@ -91,6 +95,7 @@
 			Capacity: model.Resources{MilliCPU: 8000, MemoryMiB: 8000},
 		}}
 		w.reset()
+		w.offers = []offer{{since: w.startedAt, capacity: w.info.Capacity}}
 		f.workers[id] = w
 	}
 	return f
@@ -105,7 +110,6 @@
 	w.highestRun = map[dispatch.TaskName]uint64{}
 	w.finished = nil
 	w.expired = map[uint64]bool{}
-	w.offers = []offer{{since: w.startedAt, capacity: w.info.Capacity}}
 }
 
 // clock returns the time since the start of the incarnation; it is never zero.
@@ -124,13 +128,9 @@
 func (f *fleet) Follow(ctx context.Context, update func([]dispatch.WorkerInfo)) {
 	time.Sleep(f.listDelay)
 	for ctx.Err() == nil {
-		f.mu.Lock()
-		list := make([]dispatch.WorkerInfo, 0, len(f.workers))
-		for _, w := range f.workers {
-			list = append(list, w.info)
+		if list := f.list(); list != nil {
+			update(list)
 		}
-		f.mu.Unlock()
-		update(list)
 		select {
 		case <-time.After(300 * time.Millisecond):
 		case <-ctx.Done():
@@ -138,6 +138,28 @@
 	}
 }
 
+// list returns the worker list, or nil while it cannot be read.
+func (f *fleet) list() []dispatch.WorkerInfo {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listFrozen {
+		return nil
+	}
+	f.listRead = f.clock.Now()
+	list := make([]dispatch.WorkerInfo, 0, len(f.workers))
+	for _, w := range f.workers {
+		list = append(list, w.info)
+	}
+	return list
+}
+
+// LastRead implements port.WorkerDirectory.
+func (f *fleet) LastRead() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listRead
+}
+
 // deliver executes an order now, or later without an answer. A late order waits
 // at the worker and is lost when the worker restarts.
 func (f *fleet) deliver(ctx context.Context, id model.VMID, mayBeLate bool, order func(w *fakeWorker) error) error {
@@ -146,7 +168,7 @@
 	w := f.workers[id]
 	late := mayBeLate && f.rng.Float64() < f.lateProbability
 	delay := 2*time.Second + time.Duration(f.rng.IntN(10000))*time.Millisecond
-	if w.disconnected || w.down {
+	if w == nil || w.disconnected || w.down {
 		f.mu.Unlock()
 		<-ctx.Done()
 		return ctx.Err()
@@ -215,7 +237,7 @@
 	}
 	f.mu.Lock()
 	w := f.workers[target.ID]
-	if w.down {
+	if w == nil || w.down {
 		f.mu.Unlock()
 		<-ctx.Done()
 		return report, ctx.Err()
@@ -474,6 +496,9 @@
 			w.fleet.mu.Lock()
 			defer w.fleet.mu.Unlock()
 			w.down = false
+			if w.fleet.newIDs {
+				w.rename()
+			}
 			w.reset()
 			w.notify()
 		})
@@ -484,6 +509,14 @@
 	}
 }
 
+// rename gives the worker another id.
+func (w *fakeWorker) rename() {
+	delete(w.fleet.workers, w.info.ID)
+	w.info.ID += "n"
+	w.info.Address = string(w.info.ID)
+	w.fleet.workers[w.info.ID] = w
+}
+
 func (f *fleet) setDisconnected(id model.VMID, disconnected bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/core/dispatch/crashes.go
+++ b/internal/core/dispatch/crashes.go
@@ -23,7 +23,8 @@
 	// others may have caused them, unless its runs may not have started on them.
 	crashLimit = 3
 	// totalCrashLimit is the limit that also counts crashes for which another task was
-	// given up, and those of workers on which a run may not have started.
+	// given up, those of workers on which a run may not have started, and unresolved
+	// ones.
 	totalCrashLimit = 5
 	// suspectReportAge is the maximum age of a worker's last report for placing a
 	// suspect on it. A start on a worker that has already crashed could not be told
@@ -103,8 +104,8 @@
 // reliable reports whether the run is likely to have been active when the worker crashed.
 func (c *Crash) reliable() bool { return c.Started || c.Alone }
 
-// exceeded reports whether the task is to be given up. Unresolved crashes count only
-// towards crashLimit, and only beside two reliable ones. Each reliable one that is missing
+// exceeded reports whether the task is to be given up. Unresolved crashes count towards
+// totalCrashLimit, and towards crashLimit only beside two reliable ones. Each reliable one that is missing
 // raises crashLimit by one.
 func (h crashHistory) exceeded() bool {
 	var last *Crash
@@ -128,6 +129,9 @@
 			explained++
 		}
 	}
+	if resolved+unresolved >= totalCrashLimit {
+		return true // even if none of the workers ever comes back under its id
+	}
 	if resolved < earlyCrashLimit {
 		return false
 	}
@@ -139,7 +143,7 @@
 		explained = 0 // the task does the same without the other one
 	}
 	limit := crashLimit + max(0, earlyCrashLimit-reliable)
-	return proven || resolved-explained+unresolved >= limit || resolved >= totalCrashLimit
+	return proven || resolved-explained+unresolved >= limit
 }
 
 // runAtCrash is a run that may have been active on a worker when it crashed. The
--- a/internal/core/dispatch/crashes_test.go
+++ b/internal/core/dispatch/crashes_test.go
@@ -231,6 +231,8 @@
 		"unconfirmed then twice apart":     {crashHistory{unconfirmed("a"), apart("b"), apart("c")}, true},
 		"unconfirmed then proof":           {crashHistory{unconfirmed("a"), proof("b")}, false},
 		"one and many unresolved":          {crashHistory{proof("a"), unresolved("b"), unresolved("c"), unresolved("d")}, false},
+		"four unresolved":                  {crashHistory{unresolved("a"), unresolved("b"), unresolved("c"), unresolved("d")}, false},
+		"five unresolved":                  {crashHistory{unresolved("a"), unresolved("b"), unresolved("c"), unresolved("d"), unresolved("e")}, true},
 		"two and one unresolved":           {crashHistory{suspicion("a"), suspicion("b"), unresolved("c")}, true},
 		"proof before an unresolved":       {crashHistory{suspicion("a"), proof("b"), unresolved("c")}, true},
 		"explained ones":                   {crashHistory{explained("a"), explained("b"), suspicion("c")}, false},
