Let long-running tasks crash a third worker before they are given up

Cause: two workers crashed within 3 s of two starts of the same task, by faults that had nothing to do with it. Two such crashes are the early limit.

Ruled out: a wrong count. Both crashes were under runs of the task, the second while it was alone there, so that the users' rule allows it; but the rest of a job that lasts is worth more than one more worker.

Why this works: long-running tasks have crashLimit only, which counts early crashes since the last run that lasted. A deadly one costs three workers, not two.

--- a/internal/core/dispatch/crashes.go
+++ b/internal/core/dispatch/crashes.go
@@ -106,8 +106,9 @@
 
 // exceeded reports whether the task is to be given up. Unresolved crashes count towards
 // totalCrashLimit, and towards crashLimit only beside two reliable ones. Each reliable one that is missing
-// raises crashLimit by one.
-func (h crashHistory) exceeded() bool {
+// raises crashLimit by one. A long-running task is worth a third worker before it is
+// given up.
+func (h crashHistory) exceeded(longRunning bool) bool {
 	var last *Crash
 	workers := map[model.VMID]bool{} // that crashed under a run known to have started
 	resolved, reliable, explained, unresolved := 0, 0, 0, 0
@@ -135,7 +136,7 @@
 	if resolved < earlyCrashLimit {
 		return false
 	}
-	proven := last.Started && last.Early && last.Alone && len(workers) >= earlyCrashLimit
+	proven := !longRunning && last.Started && last.Early && last.Alone && len(workers) >= earlyCrashLimit
 	if reliable < earlyCrashLimit {
 		unresolved = 0
 	}
@@ -375,7 +376,7 @@
 // checkCrashes fails the task's job if too many workers have crashed under the task.
 func (e *Engine) checkCrashes(t *task) {
 	j := t.step.occurrence.job
-	if j.state.Ended() || t.phase == done || !t.crashes.exceeded() {
+	if j.state.Ended() || t.phase == done || !t.crashes.exceeded(t.step.spec.LongRunning) {
 		return
 	}
 	e.event("task_given_up", t, fmt.Sprintf("workers crashed under it: %s", t.crashes))
