Give a task up only after the third crash

Callers would see: a sound job shown as failed. Two crashes with proof were the early limit.

The owner can't tell such an end from a run that was active, so that two crashes are no proof. A deadly task costs three workers, not two, still placed apart from its second start on. Unresolved crashes are looked up before tasks are sorted, since each report asks for them.

--- a/internal/core/dispatch/crashes.go
+++ b/internal/core/dispatch/crashes.go
@@ -16,12 +16,13 @@
 	// deadlyWindow is the time at work within which a task that crashes its workers has
 	// done so. A run that has been at work for longer is not suspected.
 	deadlyWindow = 3 * time.Second
-	// earlyCrashLimit is the number of workers after whose crashes a task is given up if
-	// it alone can have caused the last one.
-	earlyCrashLimit = 2
-	// crashLimit is the number of workers after whose crashes a task is given up even if
-	// others may have caused them, unless its runs may not have started on them.
+	// crashLimit is the number of workers after whose crashes a task is given up, unless
+	// its runs may not have started on them. Two may crash for other reasons, or just
+	// after a run has ended and before it could say so.
 	crashLimit = 3
+	// reliableCrashes is the number of crashes under runs that were likely active from
+	// which crashLimit holds.
+	reliableCrashes = 2
 	// totalCrashLimit is the limit that also counts crashes for which another task was
 	// given up, those of workers on which a run may not have started, and unresolved
 	// ones.
@@ -105,12 +106,10 @@
 func (c *Crash) reliable() bool { return c.Started || c.Alone }
 
 // exceeded reports whether the task is to be given up. Unresolved crashes count towards
-// totalCrashLimit, and towards crashLimit only beside two reliable ones. Each reliable one that is missing
-// raises crashLimit by one. A long-running task is worth a third worker before it is
-// given up.
-func (h crashHistory) exceeded(longRunning bool) bool {
+// totalCrashLimit, and towards crashLimit only beside two reliable ones. Each reliable
+// one that is missing raises crashLimit by one.
+func (h crashHistory) exceeded() bool {
 	var last *Crash
-	workers := map[model.VMID]bool{} // that crashed under a run known to have started
 	resolved, reliable, explained, unresolved := 0, 0, 0, 0
 	for i := range h {
 		crash := &h[i]
@@ -120,9 +119,6 @@
 		}
 		resolved++
 		last = crash
-		if crash.Started {
-			workers[crash.Worker] = true
-		}
 		if crash.reliable() {
 			reliable++
 		}
@@ -133,18 +129,17 @@
 	if resolved+unresolved >= totalCrashLimit {
 		return true // even if none of the workers ever comes back under its id
 	}
-	if resolved < earlyCrashLimit {
+	if resolved < reliableCrashes {
 		return false
 	}
-	proven := !longRunning && last.Started && last.Early && last.Alone && len(workers) >= earlyCrashLimit
-	if reliable < earlyCrashLimit {
+	if reliable < reliableCrashes {
 		unresolved = 0
 	}
 	if last.Alone {
 		explained = 0 // the task does the same without the other one
 	}
-	limit := crashLimit + max(0, earlyCrashLimit-reliable)
-	return proven || resolved-explained+unresolved >= limit
+	limit := crashLimit + max(0, reliableCrashes-reliable)
+	return resolved-explained+unresolved >= limit
 }
 
 // runAtCrash is a run that may have been active on a worker when it crashed. The
@@ -325,6 +320,9 @@
 // resolveCrashes applies the worker's report of its incarnation to the unresolved
 // crashes: a newer incarnation proves them, the same one refutes them.
 func (e *Engine) resolveCrashes(id model.VMID, incarnation int64) {
+	if !e.hasUnresolved(id) {
+		return
+	}
 	for _, t := range e.crashedTasks() {
 		if t.step.occurrence.job.state.Ended() {
 			continue // an earlier task of the list was given up
@@ -359,6 +357,16 @@
 	}
 }
 
+// hasUnresolved reports whether a task has an unresolved crash of the worker.
+func (e *Engine) hasUnresolved(id model.VMID) bool {
+	for t := range e.crashed {
+		if slices.ContainsFunc(t.crashes, func(c Crash) bool { return c.Unresolved && c.Worker == id }) {
+			return true
+		}
+	}
+	return false
+}
+
 // crashedTasks returns the unfinished tasks with crashes, sorted by name.
 func (e *Engine) crashedTasks() []*task {
 	list := make([]*task, 0, len(e.crashed))
@@ -376,7 +384,7 @@
 // checkCrashes fails the task's job if too many workers have crashed under the task.
 func (e *Engine) checkCrashes(t *task) {
 	j := t.step.occurrence.job
-	if j.state.Ended() || t.phase == done || !t.crashes.exceeded(t.step.spec.LongRunning) {
+	if j.state.Ended() || t.phase == done || !t.crashes.exceeded() {
 		return
 	}
 	e.event("task_given_up", t, fmt.Sprintf("workers crashed under it: %s", t.crashes))
