Check a worker's capacity again before a start that waited for the log

What callers saw: nothing yet; found by a test in virtual time. A start may have brought a worker over a capacity that had shrunk seconds before (LIMIT).

Cause: a decision waits for its append, as long as the log is away, and its start was sent once the append held, on the capacity as it was when decided. And while the worker list could not be read, tasks were placed on the last one read, however old.

Ruled out: the platform's adapter.

Why this works: each send of a start first asks whether the worker offers what is assigned to it and whether the list is at most 2.5 s old; without such a list nothing is placed. A start that was not sent makes its task pending again.

--- a/internal/app/celltest/capacity_test.go
+++ b/internal/app/celltest/capacity_test.go
@@ -1,6 +1,7 @@
 package celltest
 
 import (
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
 
@@ -50,3 +52,87 @@
 		c.close()
 	})
 }
+
+// The log takes appends, but the worker list can't be read.
+func TestNothingIsPlacedOnStaleWorkerList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 3, cellWorkers)
+		time.Sleep(3 * time.Second)
+		c.setFleet(func(f *fleet) { f.listFrozen = true })
+		for i := range cellWorkers {
+			c.fleet.setCapacity(workerID(i), model.Resources{MilliCPU: 1000, MemoryMiB: 8000})
+		}
+		for i := range 80 {
+			c.submit(i, smallSpec(), 5*time.Second)
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.setFleet(func(f *fleet) { f.listFrozen = false })
+		time.Sleep(60 * time.Second)
+		c.check()
+		c.close()
+	})
+}
+
+// A decision waits for the log while the workers shrink.
+func TestStartDecidedBeforeOutageIsNotSentToShrunkWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 3, cellWorkers)
+		time.Sleep(3 * time.Second)
+		owner := c.ownerIndex()
+		require.GreaterOrEqual(t, owner, 0)
+		c.setLog(func(l *memLog) { l.down = true })
+		spec := smallSpec()
+		spec.Steps[0].Size.MilliCPU = 6000
+		spec.Queue, spec.Payload = cellQueue, "p"
+		id := c.registerJob(0, spec, time.Second)
+		go c.submitAt(owner, id, spec)
+		time.Sleep(500 * time.Millisecond)
+		for i := range cellWorkers {
+			c.fleet.setCapacity(workerID(i), model.Resources{MilliCPU: 4000, MemoryMiB: 8000})
+		}
+		time.Sleep(5 * time.Second)
+		c.setLog(func(l *memLog) { l.down = false })
+		time.Sleep(5 * time.Second)
+		assert.Zero(t, c.startsOf(id))
+		require.True(t, c.submitAt(owner, id, spec), "a caller that got no answer retries")
+		c.jobs = append(c.jobs, id)
+		for i := range cellWorkers {
+			c.fleet.setCapacity(workerID(i), fullCapacity)
+		}
+		time.Sleep(5 * time.Second)
+		c.check()
+		assert.Equal(t, dispatch.Completed, c.stateOf(id))
+		c.close()
+	})
+}
+
+// runCapacityScenario submits jobs during random faults while the workers' capacity
+// shrinks and grows.
+func runCapacityScenario(t *testing.T, seed uint64) {
+	c := newCell(t, seed, 3, cellWorkers)
+	time.Sleep(3 * time.Second)
+	done := c.beginRandomFaults(seed)
+	rng := rand.New(rand.NewPCG(seed, 5))
+	for i := range 50 {
+		spec, runTime := c.randomSpec()
+		c.submit(i, spec, runTime)
+		share := int64(1 + rng.IntN(8)) // eighths
+		c.fleet.setCapacity(workerID(rng.IntN(cellWorkers)), model.Resources{
+			MilliCPU: fullCapacity.MilliCPU * share / 8, MemoryMiB: fullCapacity.MemoryMiB * share / 8,
+		})
+		time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
+	}
+	<-done
+	for i := range cellWorkers {
+		c.fleet.setCapacity(workerID(i), fullCapacity)
+	}
+	time.Sleep(120 * time.Second)
+	c.check()
+	c.close()
+}
+
+const capacityScenarios = 24
+
+func TestRandomFaultsWithChangingCapacity(t *testing.T) {
+	runSeeds(t, capacityScenarios, nil, runCapacityScenario)
+}
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -41,9 +41,13 @@
 // An error ends the session.
 func (s *ownerSession) commitRound(ctx context.Context) error {
 	now := s.Clock.Now()
+	current := s.listIsCurrent()
+	s.logListAge(current)
 	s.mu.Lock()
 	writes := s.admitJobs(s.takePending())
-	s.engine.Schedule(now, s.Clock.Wall())
+	if current {
+		s.engine.Schedule(now, s.Clock.Wall())
+	}
 	batch := s.engine.TakeBatch()
 	stops := s.engine.TakeStopOrders()
 	paces := s.engine.TakePaceOrders()
@@ -94,6 +98,20 @@
 	return nil
 }
 
+// logListAge logs when the worker list becomes too old for placements, and when it is
+// current again.
+func (s *ownerSession) logListAge(current bool) {
+	if current == s.listWasCurrent {
+		return
+	}
+	s.listWasCurrent = current
+	if current {
+		s.Logger.Info("worker list is current; placing tasks")
+		return
+	}
+	s.Logger.WithField("age_ms", (s.Clock.Now() - s.Directory.LastRead()).Milliseconds()).Warn("worker list is too old; placing no tasks until it can be read again")
+}
+
 // admitJobs adds the jobs that the next append stores to the engine, so that the
 // same append can hold their placements. This is safe because orders are sent
 // only after the append, and the session ends if the append fails. It rejects
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -187,6 +187,7 @@
 
 	sequence           uint64        // of the next append
 	lastAppendSent     atomic.Int64  // clock reading at which the latest successful append was sent
+	listWasCurrent     bool          // in the last commit round; used by the commit loop only
 	appendFailing      atomic.Bool   // the current append has failed at least once
 	lastHeartbeat      time.Duration // clock reading at the last heartbeat; used by the commit loop only
 	lastCleanup        time.Duration // clock reading at the last cleanup; used by the commit loop only
--- a/internal/app/dispatcher/orders.go
+++ b/internal/app/dispatcher/orders.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
+	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
@@ -19,7 +20,13 @@
 		return
 	}
 	unknown := false
+	reason := "no start could be sent in time"
 	for sends := 0; sends < maxStartSends && ctx.Err() == nil; sends++ {
+		// The order may have waited for the log, or for an answer.
+		if !s.listIsCurrent() || !s.withinCapacity(order.Worker) {
+			reason = "the worker list is too old, or the worker offers less than is assigned to it"
+			break
+		}
 		now := s.Clock.Now()
 		leaseUntil := w.grantLease(now, s.Lease)
 		token, current := w.tokenFor(s.epoch, order.Incarnation)
@@ -56,7 +63,14 @@
 		s.outcomeUnknown(order)
 		return
 	}
-	s.rejected(order, "no start could be sent in time")
+	s.rejected(order, reason)
+}
+
+// withinCapacity reports whether the worker offers what is assigned to it.
+func (s *ownerSession) withinCapacity(id model.VMID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine.WithinCapacity(id)
 }
 
 // handleRejection applies a worker's rejection of a start. It reports whether the
--- a/internal/app/dispatcher/workers.go
+++ b/internal/app/dispatcher/workers.go
@@ -40,9 +40,12 @@
 	// maxUnconfirmedOrder is how long orders are still sent after the last append
 	// that succeeded.
 	maxUnconfirmedOrder = time.Second
-	stopTimeout         = 500 * time.Millisecond // of one call
-	maxStopSends        = 3
-	stopRetryPause      = 100 * time.Millisecond
+	// maxListAge is the maximum age of the worker list for placing tasks and for sending
+	// starts: workers may have shrunk since.
+	maxListAge     = 2500 * time.Millisecond
+	stopTimeout    = 500 * time.Millisecond // of one call
+	maxStopSends   = 3
+	stopRetryPause = 100 * time.Millisecond
 )
 
 // workerState is an owner session's state of one worker.
@@ -152,6 +155,12 @@
 	group.Go(func() { s.pollLoop(ctx, w) })
 }
 
+// listIsCurrent reports whether the worker list is at most maxListAge old.
+func (s *ownerSession) listIsCurrent() bool {
+	read := s.Directory.LastRead()
+	return read != 0 && s.Clock.Now()-read <= maxListAge
+}
+
 func (s *ownerSession) workerState(worker model.VMID) *workerState {
 	s.workersMu.Lock()
 	defer s.workersMu.Unlock()
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -352,6 +352,13 @@
 	return ok && w.listed
 }
 
+// WithinCapacity reports whether the worker offers what all runs assigned to it need,
+// those being stopped included.
+func (e *Engine) WithinCapacity(id model.VMID) bool {
+	w, ok := e.workers[id]
+	return ok && w.used.Fits(w.info.Capacity)
+}
+
 // StopPending reports whether the run is being stopped and may still be active.
 func (e *Engine) StopPending(name TaskName, run uint64, id model.VMID) bool {
 	if t := e.currentRun(name, run, id); t != nil {
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -85,6 +85,9 @@
 	// Follow calls update with the complete list after each change, until the
 	// context is done.
 	Follow(ctx context.Context, update func([]dispatch.WorkerInfo))
+	// LastRead returns the clock reading at which the last successful read of the list
+	// was sent, zero before the first. The last update contains all changes before it.
+	LastRead() time.Duration
 }
 
 // MachineManager lists the platform's machines and starts their upkeep.
