Refuse submitted jobs with absurd numbers

A caller could submit a step of 2,000,000,000 tasks. Counts beyond 32 bits were stored as another number: tasks as 1. Negative sizes fit everywhere and lower what counts as used.

Cause: decodeJob checked only that steps have tasks and depend on earlier ones.

--- a/internal/core/dispatch/feasibility.go
+++ b/internal/core/dispatch/feasibility.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
@@ -79,3 +83,88 @@
 	}
 	return ""
 }
+
+// Limits of what the engine holds. Sums over the workers of a cell and products with
+// the tasks of a job that are within them do not overflow.
+const (
+	// MaxAmount is the most of a resource that a worker offers or a task requires, in
+	// the units of model.Resources.
+	MaxAmount = 1_000_000_000
+	// MaxWorkers is the number of workers of the largest cell.
+	MaxWorkers = 100_000
+	// MaxName is the length of a name or label in bytes.
+	MaxName = 255
+	// MaxSteps is the number of steps of a job.
+	MaxSteps = 1000
+
+	maxTasks       = 100_000 // of an occurrence
+	maxAllTasks    = 200_000 // of all occurrences of a job
+	maxOccurrences = 10_000
+	maxPayload     = 12_000 // bytes
+	// maxRunTime bounds the declared run times of all steps together, and the time
+	// from a job's first occurrence to its last.
+	maxRunTime = 365 * 24 * time.Hour
+)
+
+// CheckAmount returns an error unless every dimension is between 0 and limit.
+func CheckAmount(amount model.Resources, limit int64) error {
+	if amount.IsNegative() || !amount.Fits(model.Resources{MilliCPU: limit, MemoryMiB: limit, Accelerators: limit, Slots: limit}) {
+		return errs.New("an amount of %+v is not between 0 and %d", amount, limit)
+	}
+	return nil
+}
+
+// Check returns an error if the job is beyond the limits of what the engine holds or
+// has steps that depend on others than earlier ones.
+func (s *JobSpec) Check() error {
+	if len(s.Steps) > MaxSteps || len(s.Payload) > maxPayload {
+		return errs.New("job has %d steps and a payload of %d bytes; the limits are %d and %d", len(s.Steps), len(s.Payload), MaxSteps, maxPayload)
+	}
+	tasks, runTime := 0, time.Duration(0)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		if err := step.check(i); err != nil {
+			return errs.New("step %d: %w", i, err)
+		}
+		tasks += step.Tasks
+		runTime += step.DeclaredRunTime
+	}
+	if tasks > maxTasks || runTime > maxRunTime {
+		return errs.New("job has %d tasks and a run time of %v; the limits are %d and %v", tasks, runTime, maxTasks, maxRunTime)
+	}
+	if s.Repetitions < 0 || s.Repetitions > min(maxOccurrences, maxAllTasks/max(tasks, 1)) {
+		return errs.New("job of %d tasks has %d repetitions; the limits are %d and %d tasks in all", tasks, s.Repetitions, maxOccurrences, maxAllTasks)
+	}
+	if s.Interval < 0 || s.Interval > maxRunTime/time.Duration(max(s.Repetitions, 1)) {
+		return errs.New("interval of %v with %d repetitions is negative or takes longer than %v", s.Interval, s.Repetitions, maxRunTime)
+	}
+	return nil
+}
+
+// check returns an error if the step with the index is beyond the limits.
+func (s *StepSpec) check(index int) error {
+	if s.Tasks < 1 || s.Tasks > maxTasks {
+		return errs.New("has %d tasks; must be between 1 and %d", s.Tasks, maxTasks)
+	}
+	if err := CheckAmount(s.Size, MaxAmount); err != nil {
+		return err
+	}
+	if s.DeclaredRunTime < 0 || s.DeclaredRunTime > maxRunTime || s.TailLatencyTarget < 0 || s.TailLatencyTarget > maxRunTime {
+		return errs.New("has a run time of %v and a latency target of %v; must be between 0 and %v", s.DeclaredRunTime, s.TailLatencyTarget, maxRunTime)
+	}
+	if s.MaxPerWorker < 0 || s.MaxPerWorker > math.MaxInt32 || s.MaxUnavailable < 0 || s.MaxUnavailable > math.MaxInt32 {
+		return errs.New("allows %d tasks per worker and %d unavailable ones; must be between 0 and %d", s.MaxPerWorker, s.MaxUnavailable, math.MaxInt32)
+	}
+	if len(s.Requires) > MaxName || len(s.PreferRack) > MaxName || len(s.Image) > MaxName {
+		return errs.New("has a label or name of more than %d bytes", MaxName)
+	}
+	if len(s.DependsOn) > index {
+		return errs.New("has %d dependencies on %d earlier steps", len(s.DependsOn), index)
+	}
+	for _, earlier := range s.DependsOn {
+		if earlier < 0 || earlier >= index {
+			return errs.New("depends on step %d, which is not an earlier one", earlier)
+		}
+	}
+	return nil
+}
