Ignore submissions on the log that the engine can't hold

A record with a dependency on step -1 or on a later step, with a negative or absurd number of tasks, size or repetitions was given to the owner's engine, which indexes steps by dependencies and creates all tasks at once. In a trial on the engine, AddJob ended with "index out of range [-1]" and "index out of range [2] with length 2", so the owner would end, and each next one that restores the job.

Cause: the replica took every submission that protobuf could decode.

Records with bad bytes, keys of others and negative indexes were ignored before (TestOddRecordsLeaveOthersReadable passed).

The replica and ParseSubmission now apply JobSpec.Check to each submission, the check that decodeJob applies to callers' jobs, and ignore those that fail it with one log line.

--- a/internal/app/replica/apply.go
+++ b/internal/app/replica/apply.go
@@ -60,17 +60,17 @@
 
 func (r *Replica) applySubmission(id model.JobID, value []byte) error {
 	s := r.writeShard(id)
-	s.mu.Lock()
 	if value == nil {
+		s.mu.Lock()
 		delete(s.jobs, id)
 		s.mu.Unlock()
 		return nil
 	}
-	submission := new(logpb.Submission)
-	if err := proto.Unmarshal(value, submission); err != nil {
-		s.mu.Unlock()
+	submission, err := decodeSubmission(value)
+	if err != nil {
 		return err
 	}
+	s.mu.Lock()
 	j := s.job(id)
 	added := j.Submission == nil
 	if added {
--- a/internal/app/replica/records.go
+++ b/internal/app/replica/records.go
@@ -31,15 +31,30 @@
 	return encodeRecord(SubmissionKey(id), submission)
 }
 
+// decodeSubmission returns an error for a submission that can't be decoded or whose job
+// the engine can't hold.
+func decodeSubmission(value []byte) (*logpb.Submission, error) {
+	submission := new(logpb.Submission)
+	if err := proto.Unmarshal(value, submission); err != nil {
+		return nil, err
+	}
+	spec := Spec(submission)
+	if err := spec.Check(); err != nil {
+		return nil, err
+	}
+	return submission, nil
+}
+
 // ParseSubmission returns the job in a submission record, or false for any other
-// record and for one that can't be decoded.
+// record and for one that can't be decoded or
+// that describes a job beyond the limits.
 func ParseSubmission(record port.KeyedRecord) (model.JobID, *logpb.Submission, bool) {
 	id, ok := strings.CutPrefix(record.Key, submissionPrefix)
 	if !ok || record.Value == nil {
 		return "", nil, false
 	}
-	submission := new(logpb.Submission)
-	if err := proto.Unmarshal(record.Value, submission); err != nil {
+	submission, err := decodeSubmission(record.Value)
+	if err != nil {
 		return "", nil, false // every replica logs it
 	}
 	return model.JobID(id), submission, true
