Refuse submissions that are too large for one record

A body of up to 1 MB was accepted, but the store takes records of at most 262,144 bytes and refuses the whole append otherwise. By reading (not run against the platform): the owner repeats a refused append until it succeeds, so one such job would keep all decisions of the cell from the log, with each next owner too.

Cause: nothing bounded the encoded submission.

Evidence: TestSubmissionThatNoReadCouldReturnIsRefused failed before with "An error is expected but got nil" for 1,000 steps with labels of 255 bytes.

--- a/internal/app/replica/odd_record_test.go
+++ b/internal/app/replica/odd_record_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"math"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -69,3 +71,9 @@
 		assert.False(t, known, "%q", record.Key)
 	}
 }
+
+func TestSubmissionThatNoReadCouldReturnIsRefused(t *testing.T) {
+	step := dispatch.StepSpec{Tasks: 1, Requires: strings.Repeat("r", 255)}
+	_, err := SubmissionRecord("a", dispatch.JobSpec{Steps: slices.Repeat([]dispatch.StepSpec{step}, 1000)})
+	assert.Error(t, err)
+}
--- a/internal/app/replica/records.go
+++ b/internal/app/replica/records.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
@@ -12,7 +13,12 @@
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
-// SubmissionRecord returns the record of an accepted job.
+// maxSubmission is the size of a submission's record in bytes. A larger one could not
+// be appended, or not be read together with others.
+const maxSubmission = 96 << 10
+
+// SubmissionRecord returns the record of an accepted job, or an error if the job is
+// beyond the limits of what a cell holds.
 func SubmissionRecord(id model.JobID, spec dispatch.JobSpec) (port.KeyedRecord, error) {
 	submission := &logpb.Submission{
 		Team:            spec.Team,
@@ -28,7 +34,14 @@
 	for i := range spec.Steps {
 		submission.Steps = append(submission.Steps, stepToWire(&spec.Steps[i]))
 	}
-	return encodeRecord(SubmissionKey(id), submission)
+	record, err := encodeRecord(SubmissionKey(id), submission)
+	if err != nil {
+		return port.KeyedRecord{}, err
+	}
+	if len(record.Value) > maxSubmission {
+		return port.KeyedRecord{}, errs.New("submission of %d bytes is larger than %d bytes", len(record.Value), maxSubmission)
+	}
+	return record, nil
 }
 
 // decodeSubmission returns an error for a submission that can't be decoded or whose job
