Ignore ends of jobs with an unknown state

After an end record without a known state, callers were told that the job's state is "".

Cause: the missing entry of endStates was taken as the state.

Evidence: TestEndOfUnknownStateDoesNotEndJob failed before: expected "queued", actual "".

Such a record is now an error, which is logged, and the job keeps its state.

--- a/internal/app/replica/apply.go
+++ b/internal/app/replica/apply.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
@@ -106,7 +107,10 @@
 	if err := proto.Unmarshal(value, &record); err != nil {
 		return err
 	}
-	state := endStates[record.GetState()]
+	state, known := endStates[record.GetState()]
+	if !known {
+		return errs.New("end of job %s has the unknown state %d", id, record.GetState())
+	}
 	s.ended[id] = endedJob{state: state, at: time.UnixMilli(record.GetEndedUnixMs())}
 	if j, ok := s.jobs[id]; ok {
 		j.State = state
--- a/internal/app/replica/odd_record_test.go
+++ b/internal/app/replica/odd_record_test.go
@@ -72,6 +72,16 @@
 	}
 }
 
+func TestEndOfUnknownStateDoesNotEndJob(t *testing.T) {
+	for _, state := range []logpb.JobRecord_State{0, 99} {
+		r := newReplica()
+		r.Apply([]port.KeyedRecord{submission(t, "a"), encoded(t, EndKey("a"), &logpb.JobRecord{State: state})}, true)
+		got, known := r.State("a")
+		assert.True(t, known)
+		assert.Equal(t, dispatch.Queued, got)
+	}
+}
+
 func TestSubmissionThatNoReadCouldReturnIsRefused(t *testing.T) {
 	step := dispatch.StepSpec{Tasks: 1, Requires: strings.Repeat("r", 255)}
 	_, err := SubmissionRecord("a", dispatch.JobSpec{Steps: slices.Repeat([]dispatch.StepSpec{step}, 1000)})
