Ignore heartbeats with an absurd epoch

A heartbeat record with an epoch near 2^64 would hide those of all later owners from a replica until it loads the log anew.

Cause: the replica keeps the heartbeat with the highest epoch, however high.

Evidence: TestAbsurdEpochDoesNotHideLaterOwners failed before: expected "n", actual "odd".

--- a/internal/app/replica/apply.go
+++ b/internal/app/replica/apply.go
@@ -12,6 +12,10 @@
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
+// maxEpoch bounds the epoch in a heartbeat; no later owner's would be seen after a
+// higher one.
+const maxEpoch = 1 << 48
+
 // applyRecord applies one record. Keys of unknown kinds are ignored. The caller
 // holds applyMu.
 func (r *Replica) applyRecord(record *port.KeyedRecord) error {
@@ -46,6 +50,9 @@
 	if err := proto.Unmarshal(record.Value, &heartbeat); err != nil {
 		return err
 	}
+	if heartbeat.GetEpoch() > maxEpoch {
+		return errs.New("epoch %d of the owner's heartbeat is beyond %d", heartbeat.GetEpoch(), uint64(maxEpoch))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if heartbeat.GetEpoch() < r.owner.Epoch {
--- a/internal/app/replica/odd_record_test.go
+++ b/internal/app/replica/odd_record_test.go
@@ -82,6 +82,13 @@
 	}
 }
 
+func TestAbsurdEpochDoesNotHideLaterOwners(t *testing.T) {
+	r := newReplica()
+	r.Apply([]port.KeyedRecord{encoded(t, OwnerKey, &logpb.OwnerRecord{Epoch: math.MaxUint64, Node: "odd"})}, true)
+	r.Apply([]port.KeyedRecord{encoded(t, OwnerKey, &logpb.OwnerRecord{Epoch: 7, Node: "n"})}, true)
+	assert.Equal(t, "n", r.Owner().Node)
+}
+
 func TestSubmissionThatNoReadCouldReturnIsRefused(t *testing.T) {
 	step := dispatch.StepSpec{Tasks: 1, Requires: strings.Repeat("r", 255)}
 	_, err := SubmissionRecord("a", dispatch.JobSpec{Steps: slices.Repeat([]dispatch.StepSpec{step}, 1000)})
