End a load whose pages repeat

If the store can't continue after a key, such as one of another writer that isn't text and therefore is altered in JSON, it returns the same page again (not tried against the platform). The node read such pages for ever and kept all their records, until its memory was used up, at each start.

Cause: load ends only with a page that states that no further one follows.

Evidence: TestPagesThatRepeatDoNotKeepALoadFromEnding failed before with "the newest records were not loaded".

A page with the same last key as an earlier one now ends the load, with a warning. The last keys are kept of each page only. What sorts after such a key stays unread; keys of text sort before the bytes that aren't.

--- a/internal/app/logtail/logtail.go
+++ b/internal/app/logtail/logtail.go
@@ -109,9 +109,11 @@
 }
 
 // load reads the newest record of every key. Reading goes on at the end offset of
-// the first page, so that changes made during the load are not missed.
+// the first page, so that changes made during the load are not missed. A page that repeats
+// an earlier one ends the load: a store can't continue after a key that isn't text.
 func (t *Tail) load(ctx context.Context) error {
 	after, start := "", uint64(0)
+	lastKeys := map[string]bool{} // of the pages
 	var records []port.KeyedRecord
 	for first := true; ; first = false {
 		callCtx, cancel := context.WithTimeout(ctx, pageTimeout)
@@ -128,6 +130,11 @@
 			break
 		}
 		after = page.Records[len(page.Records)-1].Key
+		if lastKeys[after] {
+			t.Logger.WithField("topic", t.Topic).Warn("a page of the newest records repeats an earlier one; ending the load there")
+			break
+		}
+		lastKeys[after] = true
 	}
 	t.Follower.Load(records)
 	t.offset.Store(start)
--- a/internal/app/logtail/logtail_test.go
+++ b/internal/app/logtail/logtail_test.go
@@ -74,3 +74,44 @@
 		<-done
 	})
 }
+
+// loopingLog returns the same page of newest records again and again, as a store does
+// whose keys can't be sent back to it unchanged.
+type loopingLog struct {
+	port.KeyedLog
+	pages int
+}
+
+func (l *loopingLog) Newest(context.Context, string, string) (port.NewestPage, error) {
+	if l.pages++; l.pages > 1000 {
+		return port.NewestPage{}, io.ErrUnexpectedEOF
+	}
+	return port.NewestPage{Records: []port.KeyedRecord{{Key: "a"}, {Key: "\ufffd"}}, More: true, End: 7}, nil
+}
+
+func (l *loopingLog) Read(ctx context.Context, _ string, _ uint64, _ time.Duration) (port.KeyedBatch, error) {
+	<-ctx.Done()
+	return port.KeyedBatch{}, ctx.Err()
+}
+
+// loads passes on how many records each load had.
+type loads chan int
+
+func (l loads) Load(records []port.KeyedRecord) { l <- len(records) }
+func (l loads) Apply([]port.KeyedRecord, bool)  {}
+
+func TestPagesThatRepeatDoNotKeepALoadFromEnding(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	loaded := make(loads, 1)
+	tail := &Tail{Log: &loopingLog{}, Clock: porttest.NewClock(nil, time.Hour, 0), Topic: "t", Follower: loaded, Logger: logger}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	go tail.Run(ctx)
+	select {
+	case records := <-loaded:
+		assert.LessOrEqual(t, records, 4)
+	case <-ctx.Done():
+		t.Fatal("the newest records were not loaded")
+	}
+}
