--- a/internal/app/replica/apply.go
+++ b/internal/app/replica/apply.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
@@ -11,6 +12,10 @@
 	"github.com/balsamhitch/balsamhitch/internal/port"
 )
 
+// maxEpoch bounds the epoch in a heartbeat; no later owner's would be seen after a
+// higher one.
+const maxEpoch = 1 << 48
+
 // applyRecord applies one record. Keys of unknown kinds are ignored. The caller
 // holds applyMu.
 func (r *Replica) applyRecord(record *port.KeyedRecord) error {
@@ -45,6 +50,9 @@
 	if err := proto.Unmarshal(record.Value, &heartbeat); err != nil {
 		return err
 	}
+	if heartbeat.GetEpoch() > maxEpoch {
+		return errs.New("epoch %d of the owner's heartbeat is beyond %d", heartbeat.GetEpoch(), uint64(maxEpoch))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if heartbeat.GetEpoch() < r.owner.Epoch {
@@ -60,17 +68,17 @@
 
 func (r *Replica) applySubmission(id model.JobID, value []byte) error {
 	s := r.writeShard(id)
-	s.mu.Lock()
 	if value == nil {
+		s.mu.Lock()
 		delete(s.jobs, id)
 		s.mu.Unlock()
 		return nil
 	}
-	submission := new(logpb.Submission)
-	if err := proto.Unmarshal(value, submission); err != nil {
-		s.mu.Unlock()
+	submission, err := decodeSubmission(value)
+	if err != nil {
 		return err
 	}
+	s.mu.Lock()
 	j := s.job(id)
 	added := j.Submission == nil
 	if added {
@@ -106,7 +114,10 @@
 	if err := proto.Unmarshal(value, &record); err != nil {
 		return err
 	}
-	state := endStates[record.GetState()]
+	state, known := endStates[record.GetState()]
+	if !known {
+		return errs.New("end of job %s has the unknown state %d", id, record.GetState())
+	}
 	s.ended[id] = endedJob{state: state, at: time.UnixMilli(record.GetEndedUnixMs())}
 	if j, ok := s.jobs[id]; ok {
 		j.State = state
