Call workers without net/http and share connections to them

What callers saw: on the large site the owner's processor is the limit of what the cell starts.

Cause: net/http opens a connection at once for each of the orders of a burst to one worker. Three idle ones a worker are more than all workers may have together, so that the oldest idle one, which is another worker's only one, is closed for them and opened again for its next order. Each connection has two goroutines, and each call wakes both.

Change: package rawcall. A call writes its request with one write and reads the answer on the caller's goroutine. A short call waits up to 10 ms for the connection of another short call to the same worker before it opens one, which costs a round trip too. At the limit a worker's second idle connection goes before another worker's only one. An idle connection is probed by a read without waiting before it is used; one that the worker closed is not used. As before, an error is of class NotStarted only if no byte of the request was written, and deadlines, keep-alive probes and limits hold. After a call without an answer the worker's idle connections are closed too.

--- a/internal/adapter/httpcall/httpcall.go
+++ b/internal/adapter/httpcall/httpcall.go
@@ -70,13 +70,17 @@
 	return NewLimited(Limits{PerHost: connsPerHost, IdlePerHost: idlePerHost, Idle: maxIdleConns})
 }
 
-// NewLimited returns a client whose connections are within the limits.
-func NewLimited(limits Limits) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+// NewDialer returns a dialer whose connections notice a host that has vanished.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveProbes,
 	}}
+}
+
+// NewLimited returns a client whose connections are within the limits.
+func NewLimited(limits Limits) *Client {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         NewDialer().DialContext,
 		MaxConnsPerHost:     limits.PerHost,
 		MaxIdleConnsPerHost: limits.IdlePerHost,
 		MaxIdleConns:        limits.Idle,
--- /dev/null
+++ b/internal/adapter/rawcall/pool.go
@@ -0,0 +1,311 @@
+package rawcall
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/httpcall"
+)
+
+var connectionsOpened = metrics.NewCounter("balsam_raw_connections_opened_total")
+
+// pool holds the connections to all hosts within the limits.
+type pool struct {
+	limits httpcall.Limits
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu    sync.Mutex
+	hosts map[string]*host // with an open connection or a waiting call
+	idle  idleList
+	// expiry closes connections that were idle for idleTimeout; nil while none is idle.
+	expiry *time.Timer
+}
+
+// host holds the connections to one host.
+type host struct {
+	address string
+	open    int           // connections, including those that are being opened
+	short   int           // calls that are not long and have a connection
+	idle    []*connection // longest idle first
+	waiting []*waiter     // longest waiting first
+}
+
+// waiter is a call that waits for a connection, or for the permission to open one.
+type waiter struct {
+	long  bool
+	given chan *connection // capacity 1; nil is the permission
+}
+
+// acquire returns a connection to the host for a call, with the context's deadline.
+// Nothing has been sent on it for this call.
+func (p *pool) acquire(ctx context.Context, address string, long bool) (*connection, error) {
+	for {
+		conn, w, may := p.take(address, long)
+		if w != nil {
+			var err error
+			if conn, may, err = p.wait(ctx, address, w, may); err != nil {
+				return nil, err
+			}
+		}
+		if conn == nil {
+			return p.open(ctx, address, long)
+		}
+		deadline, _ := ctx.Deadline()
+		_ = conn.SetDeadline(deadline) // fails only on a closed connection, which the probe finds
+		if conn.silent.check() {
+			conn.reused = true
+			return conn, nil
+		}
+		p.release(conn, long, false, false)
+	}
+}
+
+// take returns an idle connection, or a waiter for one, or neither if the caller is to
+// open one. may reports that the waiter may give up waiting and open one.
+func (p *pool) take(address string, long bool) (conn *connection, w *waiter, may bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.hosts[address]
+	if !ok {
+		h = &host{address: address}
+		p.hosts[address] = h
+	}
+	if n := len(h.idle); n > 0 {
+		conn = h.idle[n-1]
+		p.removeIdle(conn)
+		h.begin(long)
+		return conn, nil, false
+	}
+	below := p.limits.PerHost == 0 || h.open < p.limits.PerHost
+	if below && (long || h.short == 0) {
+		h.open++
+		h.begin(long)
+		return nil, nil, false
+	}
+	w = &waiter{long: long, given: make(chan *connection, 1)}
+	h.waiting = append(h.waiting, w)
+	return nil, w, below
+}
+
+func (h *host) begin(long bool) {
+	if !long {
+		h.short++
+	}
+}
+
+func (h *host) end(long bool) {
+	if !long {
+		h.short--
+	}
+}
+
+// wait waits for a connection or the permission to open one.
+func (p *pool) wait(ctx context.Context, address string, w *waiter, may bool) (*connection, bool, error) {
+	var patience <-chan time.Time
+	if may {
+		timer := time.NewTimer(shareWait)
+		defer timer.Stop()
+		patience = timer.C
+	}
+	for {
+		select {
+		case conn := <-w.given:
+			return conn, true, nil
+		case <-patience:
+			patience = nil
+			if p.permit(address, w) {
+				return nil, true, nil
+			}
+		case <-ctx.Done():
+			p.abandon(address, w)
+			return nil, false, context.Cause(ctx)
+		}
+	}
+}
+
+// permit ends the wait of a waiter that may open a connection now. It returns false at
+// the host's limit, or if the waiter was given something meanwhile.
+func (p *pool) permit(address string, w *waiter) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil || p.limits.PerHost != 0 && h.open >= p.limits.PerHost {
+		return false
+	}
+	i := slices.Index(h.waiting, w)
+	if i < 0 {
+		return false
+	}
+	h.waiting = slices.Delete(h.waiting, i, i+1)
+	h.open++
+	h.begin(w.long)
+	return true
+}
+
+// abandon ends the wait of a waiter whose context has ended.
+func (p *pool) abandon(address string, w *waiter) {
+	p.mu.Lock()
+	if h := p.hosts[address]; h != nil {
+		if i := slices.Index(h.waiting, w); i >= 0 {
+			h.waiting = slices.Delete(h.waiting, i, i+1)
+			p.forget(h)
+			p.mu.Unlock()
+			return
+		}
+	}
+	p.mu.Unlock()
+	conn := <-w.given // it was given something at the same time
+	if conn == nil {
+		p.giveUp(address, w.long)
+		return
+	}
+	p.release(conn, w.long, true, false)
+}
+
+// open opens a connection that is counted already.
+func (p *pool) open(ctx context.Context, address string, long bool) (*connection, error) {
+	opened, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		p.giveUp(address, long)
+		return nil, err
+	}
+	connectionsOpened.Inc()
+	p.mu.Lock()
+	conn := &connection{Conn: opened, host: p.hosts[address]}
+	p.mu.Unlock()
+	if raw, ok := opened.(syscall.Conn); ok {
+		if conn.silent.raw, err = raw.SyscallConn(); err != nil {
+			p.release(conn, long, false, false)
+			return nil, err
+		}
+	}
+	conn.silent.init()
+	deadline, _ := ctx.Deadline()
+	if err := conn.SetDeadline(deadline); err != nil {
+		p.release(conn, long, false, false)
+		return nil, err
+	}
+	return conn, nil
+}
+
+// giveUp undoes the counting of a connection that was not opened.
+func (p *pool) giveUp(address string, long bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	h.end(long)
+	p.closed(h)
+}
+
+// closed is called when a connection to the host no longer counts. It lets a waiter
+// open one. The caller holds mu.
+func (p *pool) closed(h *host) {
+	h.open--
+	if len(h.waiting) > 0 {
+		h.open++
+		h.give(nil)
+	}
+	p.forget(h)
+}
+
+// give gives the connection, or the permission to open one, to the first waiter.
+func (h *host) give(conn *connection) {
+	w := h.waiting[0]
+	h.waiting = slices.Delete(h.waiting, 0, 1)
+	h.begin(w.long)
+	w.given <- conn
+}
+
+// forget removes a host without connections and waiters. The caller holds mu.
+func (p *pool) forget(h *host) {
+	if h.open == 0 && len(h.waiting) == 0 {
+		delete(p.hosts, h.address)
+	}
+}
+
+// release returns a connection after a call. Unless keep is set it is closed, and if
+// the call got no answer, so are the host's idle ones, which may be as unresponsive.
+func (p *pool) release(conn *connection, long, keep, noAnswer bool) {
+	var surplus []*connection
+	p.mu.Lock()
+	h := conn.host
+	h.end(long)
+	switch {
+	case !keep:
+		surplus = append(surplus, conn)
+		if noAnswer {
+			for len(h.idle) > 0 {
+				surplus = append(surplus, p.closeIdle(h.idle[0]))
+			}
+		}
+		p.closed(h)
+	case len(h.waiting) > 0:
+		h.give(conn)
+	default:
+		_ = conn.SetDeadline(time.Time{}) // fails only on a closed connection, which the probe finds
+		surplus = p.addIdle(conn)
+	}
+	p.mu.Unlock()
+	for _, c := range surplus {
+		_ = c.Close()
+	}
+}
+
+// addIdle keeps a connection until the next call and returns those that exceed the
+// limits then. The caller holds mu.
+func (p *pool) addIdle(conn *connection) (surplus []*connection) {
+	h := conn.host
+	conn.idleSince = time.Now()
+	h.idle = append(h.idle, conn)
+	p.idle.add(conn)
+	if p.expiry == nil {
+		p.expiry = time.AfterFunc(idleTimeout, p.closeExpired)
+	}
+	tooMany := p.limits.Idle != 0 && p.idle.Len() > p.limits.Idle
+	switch {
+	case p.limits.IdlePerHost != 0 && len(h.idle) > p.limits.IdlePerHost,
+		tooMany && len(h.idle) > 1: // rather than the only one of another host
+		surplus = append(surplus, p.closeIdle(h.idle[0]))
+	case tooMany:
+		surplus = append(surplus, p.closeIdle(p.idle.oldest()))
+	}
+	return surplus
+}
+
+// closeIdle removes an idle connection, which the caller then closes. The caller holds
+// mu.
+func (p *pool) closeIdle(conn *connection) *connection {
+	p.removeIdle(conn)
+	p.closed(conn.host)
+	return conn
+}
+
+func (p *pool) removeIdle(conn *connection) {
+	h := conn.host
+	i := slices.Index(h.idle, conn)
+	h.idle = slices.Delete(h.idle, i, i+1)
+	p.idle.remove(conn)
+}
+
+// closeExpired closes the connections that were idle for idleTimeout.
+func (p *pool) closeExpired() {
+	var expired []*connection
+	p.mu.Lock()
+	for p.idle.Len() > 0 && time.Since(p.idle.oldest().idleSince) >= idleTimeout {
+		expired = append(expired, p.closeIdle(p.idle.oldest()))
+	}
+	p.expiry = nil
+	if p.idle.Len() > 0 {
+		p.expiry = time.AfterFunc(idleTimeout-time.Since(p.idle.oldest().idleSince), p.closeExpired)
+	}
+	p.mu.Unlock()
+	for _, conn := range expired {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/adapter/rawcall/rawcall.go
@@ -0,0 +1,148 @@
+// Package rawcall sends small HTTP/1.1 calls to many hosts with little processor time.
+//
+// A call writes its request with one write and reads the answer on the caller's
+// goroutine, so that a connection has no goroutines of its own and a call causes no
+// more wake-ups than its answer does. Package httpcall has the general client.
+package rawcall
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/balsamhitch/balsamhitch/internal/adapter/httpcall"
+	"github.com/balsamhitch/balsamhitch/internal/port"
+)
+
+const (
+	// shareWait is how long a call waits for the connection of another call to its host
+	// before it opens one of its own, which takes as long as another call.
+	shareWait   = 10 * time.Millisecond
+	idleTimeout = 30 * time.Second
+	readBuffer  = 4096 // bytes; also the longest line of an answer's header
+)
+
+// Call is a POST of a JSON body.
+type Call struct {
+	Address     string // host and port
+	Path        string
+	HeaderName  string // of one more header; empty for none
+	HeaderValue string
+	Body        []byte
+	// Long tells that the answer may take long. No other call waits for its connection,
+	// and it waits for none.
+	Long bool
+}
+
+// Client sends calls. It is safe for concurrent use.
+type Client struct {
+	pool pool
+}
+
+// New returns a client whose connections are within the limits.
+func New(limits httpcall.Limits) *Client {
+	c := &Client{}
+	c.pool = pool{limits: limits, dial: httpcall.NewDialer().DialContext, hosts: map[string]*host{}}
+	return c
+}
+
+// Post sends the call and returns the complete answer without its header. It ends with
+// the context. An error of class port.NotStarted proves that nothing was sent; after any
+// other error the outcome is unknown. An error status is not an error of Post.
+func (c *Client) Post(ctx context.Context, call Call) (httpcall.Reply, error) {
+	if !validHeader(call.Address) || strings.ContainsAny(call.Address, " \t") || !validHeader(call.HeaderValue) {
+		return httpcall.Reply{}, port.NotStarted.New("address %q or header %q has bytes that a request must not contain", call.Address, call.HeaderValue)
+	}
+	request := buffers.Get().(*[]byte)
+	defer buffers.Put(request)
+	*request = appendRequest((*request)[:0], &call)
+	for {
+		conn, err := c.pool.acquire(ctx, call.Address, call.Long)
+		if err != nil {
+			return httpcall.Reply{}, port.NotStarted.Wrap(err)
+		}
+		reply, written, err := c.exchange(ctx, conn, *request, call.Long)
+		if err == nil {
+			return reply, nil
+		}
+		if written > 0 {
+			return httpcall.Reply{}, httpcall.Error.Wrap(err)
+		}
+		if !conn.reused || ctx.Err() != nil {
+			return httpcall.Reply{}, port.NotStarted.Wrap(err)
+		}
+	}
+}
+
+var (
+	buffers = sync.Pool{New: func() any { return new([]byte) }}
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+)
+
+// exchange sends the request on the connection, reads the answer and releases the
+// connection. It returns the number of bytes of the request that were written.
+func (c *Client) exchange(ctx context.Context, conn *connection, request []byte, long bool) (reply httpcall.Reply, written int, err error) {
+	keep := false
+	stop := context.AfterFunc(ctx, conn.interrupt)
+	defer func() {
+		keep = stop() && keep
+		c.pool.release(conn, long, keep, err != nil && written > 0)
+	}()
+	if written, err = conn.Write(request); err != nil {
+		return reply, written, err
+	}
+	reader := readers.Get().(*bufio.Reader)
+	reader.Reset(conn)
+	reply, keep, err = readReply(reader)
+	keep = keep && reader.Buffered() == 0
+	reader.Reset(nil)
+	readers.Put(reader)
+	return reply, written, err
+}
+
+// connection is a connection to a host. Its owner is a call, or the pool while it is
+// idle.
+type connection struct {
+	net.Conn
+	host      *host
+	reused    bool
+	idleSince time.Time
+	silent    silenceProbe
+}
+
+// interrupt makes the call that uses the connection fail.
+func (c *connection) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
+
+// appendRequest appends the bytes of the call's request.
+func appendRequest(b []byte, call *Call) []byte {
+	b = append(b, http.MethodPost+" "...)
+	b = append(b, call.Path...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, call.Address...)
+	b = append(b, "\r\nContent-Type: application/json\r\n"...)
+	if call.HeaderName != "" {
+		b = append(b, call.HeaderName...)
+		b = append(b, ": "...)
+		b = append(b, call.HeaderValue...)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, int64(len(call.Body)), 10)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, call.Body...)
+}
+
+// validHeader reports whether the text has no control characters.
+func validHeader(text string) bool {
+	for i := range len(text) {
+		if text[i] < ' ' && text[i] != '\t' || text[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
