Wake only the poll loops whose ends have become durable

Cause: each append with acknowledgements closed one channel for all poll loops that waited for one, and each took the engine's lock and waited again.

Change: each worker has its own channel, which receives a value when ends of this worker have become durable.

The load on the engine's lock while the store is slow, where they all wait, was not measured.

--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -199,7 +199,7 @@
 			s.engine.ApplyAck(ack)
 		}
 		s.mu.Unlock()
-		s.notifyAcks()
+		s.notifyAcks(batch.Acks)
 	}
 	for _, order := range batch.Starts {
 		s.submit(func() { s.start(ctx, order) })
@@ -216,20 +216,16 @@
 	}
 }
 
-// notifyAcks wakes the waiters of nextAcks.
-func (s *ownerSession) notifyAcks() {
-	s.acksDurableMu.Lock()
-	defer s.acksDurableMu.Unlock()
-	close(s.acksDurable)
-	s.acksDurable = make(chan struct{})
-}
-
-// nextAcks returns a channel that is closed when further ends of runs have become
-// durable.
-func (s *ownerSession) nextAcks() <-chan struct{} {
-	s.acksDurableMu.Lock()
-	defer s.acksDurableMu.Unlock()
-	return s.acksDurable
+// notifyAcks wakes the poll loops of the workers whose ends have become durable.
+func (s *ownerSession) notifyAcks(acks []dispatch.Ack) {
+	for _, ack := range acks {
+		if w := s.workerState(ack.Worker); w != nil {
+			select {
+			case w.acksDurable <- struct{}{}:
+			default: // not taken yet
+			}
+		}
+	}
 }
 
 // append writes records under the session's epoch and returns the offset of the
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -80,14 +80,13 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &ownerSession{
-		Options:     d.options,
-		owner:       d,
-		epoch:       epoch,
-		cancel:      cancel,
-		workers:     map[model.VMID]*workerState{},
-		wakeup:      make(chan struct{}, 1),
-		acksDurable: make(chan struct{}),
-		engine:      dispatch.New(d.options.Engine),
+		Options: d.options,
+		owner:   d,
+		epoch:   epoch,
+		cancel:  cancel,
+		workers: map[model.VMID]*workerState{},
+		wakeup:  make(chan struct{}, 1),
+		engine:  dispatch.New(d.options.Engine),
 	}
 	d.epoch.Store(epoch)
 	d.owning.Store(true)
@@ -200,9 +199,7 @@
 	workers      map[model.VMID]*workerState
 	firstReports atomic.Int64 // workers that have reported to this session
 
-	wakeup        chan struct{}
-	acksDurableMu sync.Mutex
-	acksDurable   chan struct{} // closed when further ends of runs have become durable
+	wakeup chan struct{}
 
 	pendingMu sync.Mutex
 	pending   []*write
--- a/internal/app/dispatcher/workers.go
+++ b/internal/app/dispatcher/workers.go
@@ -61,6 +61,14 @@
 	// granted to the worker has certainly expired.
 	leasesExpireBy time.Duration
 	fenced         bool // the worker has rejected this owner's token
+
+	// acksDurable receives a value when ends in the worker's reports have become
+	// durable; its capacity is 1.
+	acksDurable chan struct{}
+}
+
+func newWorkerState(info dispatch.WorkerInfo, leasesExpireBy time.Duration) *workerState {
+	return &workerState{info: info, leasesExpireBy: leasesExpireBy, acksDurable: make(chan struct{}, 1)}
 }
 
 func (w *workerState) endpoint() port.WorkerEndpoint {
@@ -150,7 +158,7 @@
 		return
 	}
 	now := s.Clock.Now()
-	w := &workerState{info: info, leasesExpireBy: now + maxUnconfirmedRenewal + maxLeaseTime(s.Lease)}
+	w := newWorkerState(info, now+maxUnconfirmedRenewal+maxLeaseTime(s.Lease))
 	s.workers[info.ID] = w
 	group.Go(func() { s.pollLoop(ctx, w) })
 }
@@ -272,7 +280,6 @@
 	defer deadline.Stop()
 	id := w.endpoint().ID
 	for {
-		acksDurable := s.nextAcks()
 		s.mu.Lock()
 		unacked := s.engine.HasUnackedEnds(id)
 		s.mu.Unlock()
@@ -280,7 +287,7 @@
 			return
 		}
 		select {
-		case <-acksDurable:
+		case <-w.acksDurable:
 		case <-deadline.C:
 			return
 		case <-ctx.Done():
