Apply a report without sorting the worker's tasks

Cause: each report sorted all tasks of the worker twice, to end missing runs and to repeat stops in a fixed order, though nearly every report has neither. Names of tasks were built by fmt and taken apart by strings.Split.

Change: only the tasks in question are sorted, and each is checked again in its turn, since the end of one may change another. Names are built and parsed without memory beside the text.

--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -309,9 +309,17 @@
 // sortedTasks returns the worker's tasks sorted by name, so that equal reports lead
 // to equal decisions.
 func (w *worker) sortedTasks() []*task {
-	list := make([]*task, 0, len(w.tasks))
+	return w.sortedTasksIf(func(*task) bool { return true })
+}
+
+// sortedTasksIf returns those of the worker's tasks for which the condition holds,
+// sorted by name.
+func (w *worker) sortedTasksIf(condition func(*task) bool) []*task {
+	var list []*task
 	for _, t := range w.tasks {
-		list = append(list, t)
+		if condition(t) {
+			list = append(list, t)
+		}
 	}
 	sortTasks(list)
 	return list
--- a/internal/core/dispatch/reports.go
+++ b/internal/core/dispatch/reports.go
@@ -48,12 +48,15 @@
 // last order was given up, or if the worker accepted it and still reports the run
 // after StopTimeout. clock is the reading of the worker's clock in the report.
 func (e *Engine) repeatStops(w *worker, clock time.Duration, reported map[TaskName]bool) {
-	for _, t := range w.sortedTasks() {
+	due := func(t *task) bool {
 		if t.phase != stopping || t.stopOrdered {
-			continue
+			return false
 		}
 		accepted := t.confirmedAt != 0
-		if !accepted || reported[t.name()] && clock >= t.confirmedAt+reportMargin {
+		return !accepted || reported[t.name()] && clock >= t.confirmedAt+reportMargin
+	}
+	for _, t := range w.sortedTasksIf(due) {
+		if due(t) {
 			e.orderStop(t)
 		}
 	}
@@ -176,9 +179,12 @@
 // endMissing ends the runs that the worker confirmed before the report's clock, or
 // that a previous owner placed, and that it reports neither as active nor as ended.
 func (e *Engine) endMissing(w *worker, clock time.Duration, reported map[TaskName]bool) {
-	for _, t := range w.sortedTasks() {
-		if reported[t.name()] || t.confirmedAt == 0 && !t.adopted || clock < t.confirmedAt+reportMargin {
-			continue
+	missing := func(t *task) bool {
+		return !reported[t.name()] && (t.confirmedAt != 0 || t.adopted) && clock >= t.confirmedAt+reportMargin
+	}
+	for _, t := range w.sortedTasksIf(missing) {
+		if !missing(t) {
+			continue // since the end of another task
 		}
 		kind := EndLost
 		if t.phase == stopping {
--- a/internal/core/dispatch/spec.go
+++ b/internal/core/dispatch/spec.go
@@ -30,24 +30,31 @@
 
 // String returns the name in the form JOB.OCCURRENCE.STEP.INDEX.
 func (n TaskName) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Occurrence, n.Step, n.Index)
+	var buffer [64]byte
+	text := append(buffer[:0], n.Job...)
+	for _, number := range [...]int{n.Occurrence, n.Step, n.Index} {
+		text = strconv.AppendInt(append(text, '.'), int64(number), 10)
+	}
+	return string(text)
 }
 
 // ParseTaskName parses a name in the form that TaskName.String returns.
 func ParseTaskName(text string) (TaskName, error) {
-	parts := strings.Split(text, ".")
-	if len(parts) != 4 || parts[0] == "" {
+	job, rest, _ := strings.Cut(text, ".")
+	if strings.Count(rest, ".") != 2 || job == "" {
 		return TaskName{}, errs.New("task name %q does not have the form JOB.OCCURRENCE.STEP.INDEX", text)
 	}
 	var numbers [3]int
-	for i, part := range parts[1:] {
+	for i := range numbers {
+		var part string
+		part, rest, _ = strings.Cut(rest, ".")
 		number, err := strconv.Atoi(part)
 		if err != nil || number < 0 {
 			return TaskName{}, errs.New("task name %q: %q is not a non-negative integer", text, part)
 		}
 		numbers[i] = number
 	}
-	return TaskName{Job: model.JobID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+	return TaskName{Job: model.JobID(job), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
 }
 
 // StepSpec describes the tasks of one step of a job.
