Build no log line that is not written, and no name for a count

Cause: each decision built a log line with a map of its fields, which the sink then dropped as one too many of its kind, and formatted the name of its counter.

Change: logsink.Wanted tells in advance whether a line of a message would be written; a line that isn't wanted counts as dropped as before. Counters are looked up by their labels.

--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/balsamhitch/balsamhitch/internal/app/logsink"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
@@ -285,10 +287,14 @@
 	s.wake()
 }
 
-// logEvents counts each event and writes a log line about it.
+// logEvents counts each event and writes a log line about it, if the logger wants one.
 func (s *ownerSession) logEvents(events []dispatch.Event) {
-	for _, event := range events {
+	for i := range events {
+		event := &events[i]
 		s.countEvent(event)
+		if !logsink.Wanted(s.Logger, event.Kind) {
+			continue
+		}
 		fields := logrus.Fields{"job": event.Job, "team": event.Team, "queue": event.Queue, "epoch": s.epoch}
 		if event.Task != "" {
 			fields["task"] = event.Task
@@ -306,8 +312,8 @@
 
 // countEvent adds the event to the metrics. For a job's first start and for its
 // completion it also records the time since the job's submission.
-func (s *ownerSession) countEvent(event dispatch.Event) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("balsam_decisions_total{kind=%q,queue=%q}", event.Kind, event.Queue)).Inc()
+func (s *ownerSession) countEvent(event *dispatch.Event) {
+	decisions.inc(event.Kind, event.Queue)
 	var name string
 	switch event.Kind {
 	case dispatch.EventJobBegan:
@@ -321,6 +327,35 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf("%s{team=%q,queue=%q}", name, event.Team, event.Queue)).Update(waited.Seconds())
 }
 
+var (
+	decisions = counters{name: "balsam_decisions_total{kind=%q,queue=%q}"}
+	orders    = counters{name: "balsam_worker_orders_total{order=%q,answer=%q}"}
+)
+
+// counters are the counters of a metric with two labels. It is safe for concurrent use.
+type counters struct {
+	name string // the format of a counter's name
+	mu   sync.Mutex
+	// byLabels holds the counters, so that counting formats no name.
+	byLabels map[[2]string]*metrics.Counter
+}
+
+// inc adds one to the counter with the labels.
+func (c *counters) inc(first, second string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	labels := [2]string{first, second}
+	counter, ok := c.byLabels[labels]
+	if !ok {
+		if c.byLabels == nil {
+			c.byLabels = map[[2]string]*metrics.Counter{}
+		}
+		counter = metrics.GetOrCreateCounter(fmt.Sprintf(c.name, first, second))
+		c.byLabels[labels] = counter
+	}
+	counter.Inc()
+}
+
 // updateGauges sets the metrics of the jobs and tasks that the owner holds.
 func (s *ownerSession) updateGauges() {
 	s.mu.Lock()
@@ -343,5 +378,5 @@
 	case err != nil:
 		answer = "unknown"
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf("balsam_worker_orders_total{order=%q,answer=%q}", order, answer)).Inc()
+	orders.inc(order, answer)
 }
--- a/internal/app/logsink/logsink.go
+++ b/internal/app/logsink/logsink.go
@@ -46,6 +46,7 @@
 	buffer         []byte
 	spare          []byte // memory of the lines written last, reused for the next buffer
 	dropped        map[dropKey]int
+	droppedTotal   map[logrus.Level]*metrics.Counter
 	limiters       map[string]*rate.Limiter // by the message of ordinary lines
 	ratePerMessage float64                  // lines a second
 	closed         bool
@@ -72,11 +73,15 @@
 		format:         &logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"},
 		out:            out,
 		dropped:        map[dropKey]int{},
+		droppedTotal:   map[logrus.Level]*metrics.Counter{},
 		limiters:       map[string]*rate.Limiter{},
 		ratePerMessage: messageShare * processorShare * processors * float64(time.Second/lineCost),
 		wake:           make(chan struct{}, 1),
 		done:           make(chan struct{}),
 	}
+	for _, level := range logrus.AllLevels {
+		s.droppedTotal[level] = metrics.GetOrCreateCounter(fmt.Sprintf(`balsam_log_lines_dropped_total{level=%q}`, level))
+	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	logger.SetFormatter(s)
@@ -111,16 +116,45 @@
 	return nil, nil
 }
 
-// inSample reports whether the line is within the rate limit of its message.
-func (s *Sink) inSample(entry *logrus.Entry) bool {
+// Wanted reports whether the logger would write an ordinary line with the message now. If
+// not, the line counts as dropped and the caller need not build it. Loggers without a
+// Sink want every line.
+func Wanted(logger logrus.FieldLogger, message string) bool {
+	var formatter logrus.Formatter
+	switch l := logger.(type) {
+	case *logrus.Logger:
+		formatter = l.Formatter
+	case *logrus.Entry:
+		formatter = l.Logger.Formatter
+	}
+	s, ok := formatter.(*Sink)
+	if !ok {
+		return true
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	limiter, ok := s.limiters[entry.Message]
+	if s.limiter(message).Tokens() >= 1 {
+		return true
+	}
+	s.countDropped(dropKey{logrus.InfoLevel, message, sampled})
+	return false
+}
+
+// limiter returns the limiter of the message's lines. The caller holds mu.
+func (s *Sink) limiter(message string) *rate.Limiter {
+	limiter, ok := s.limiters[message]
 	if !ok {
 		limiter = rate.NewLimiter(rate.Limit(s.ratePerMessage), int(s.ratePerMessage/messageShare))
-		s.limiters[entry.Message] = limiter
+		s.limiters[message] = limiter
 	}
-	if limiter.AllowN(entry.Time, 1) {
+	return limiter
+}
+
+// inSample reports whether the line is within the rate limit of its message.
+func (s *Sink) inSample(entry *logrus.Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limiter(entry.Message).AllowN(entry.Time, 1) {
 		return true
 	}
 	s.countDropped(dropKey{entry.Level, entry.Message, sampled})
@@ -130,7 +164,7 @@
 // countDropped counts a line that is not written. The caller holds mu.
 func (s *Sink) countDropped(key dropKey) {
 	s.dropped[key]++
-	metrics.GetOrCreateCounter(fmt.Sprintf(`balsam_log_lines_dropped_total{level=%q}`, key.level)).Inc()
+	s.droppedTotal[key.level].Inc()
 }
 
 // Close writes the buffered lines; it returns after the given time at the latest.
--- a/internal/app/logsink/logsink_test.go
+++ b/internal/app/logsink/logsink_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -78,3 +79,31 @@
 	assert.Equal(t, 3, strings.Count(written, "submission refused"))
 	assert.Contains(t, written, `"kind":"run_placed","reason":"too many of a kind","count":`)
 }
+
+// An owner of 0.8 processors decides 1,420 starts and as many ends a second; two thirds of
+// these lines are dropped, and asking first must cost next to nothing.
+func TestUnwantedLineIsCountedAndCostsNoMemory(t *testing.T) {
+	var out bytes.Buffer
+	logger, sink := New(&out, testProcessors)
+	entry := logger.WithField("part", "dispatcher")
+	wanted := 0
+	for range 20_000 {
+		if Wanted(entry, "run_placed") {
+			wanted++
+			entry.Info("run_placed")
+		}
+	}
+	assert.GreaterOrEqual(t, wanted, 1714)
+	assert.Less(t, wanted, 10_000)
+	assert.LessOrEqual(t, testing.AllocsPerRun(10, func() {
+		for range 1000 {
+			Wanted(entry, "run_placed")
+		}
+	}), 1000*0.1)
+	assert.True(t, Wanted(logger, "cell claimed"), "each message has its own limit")
+	assert.True(t, Wanted(logrus.New(), "run_placed"), "a logger without a sink has none")
+	sink.Close(time.Second)
+	written := out.String()
+	assert.Equal(t, wanted, strings.Count(written, `"msg":"run_placed"`))
+	assert.Contains(t, written, `"kind":"run_placed","reason":"too many of a kind","count":`)
+}
