Write log lines without a map and reflection

Cause: logrus.JSONFormatter copies an entry's fields into a map, and encoding/json sorts and reflects over it.

Change: the sink writes the usual lines (text without escapes, integers) itself and leaves all others to logrus. TestLinesEqualThoseOfLogrus compares both. lineCost is unchanged, so that as many lines are written as before.

--- a/internal/app/logsink/logsink.go
+++ b/internal/app/logsink/logsink.go
@@ -70,7 +70,7 @@
 // number of processors of the VM, which may be fractional.
 func New(out io.Writer, processors float64) (*logrus.Logger, *Sink) {
 	s := &Sink{
-		format:         &logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"},
+		format:         &logrus.JSONFormatter{TimestampFormat: timeFormat},
 		out:            out,
 		dropped:        map[dropKey]int{},
 		droppedTotal:   map[logrus.Level]*metrics.Counter{},
@@ -94,9 +94,15 @@
 	if entry.Level > logrus.WarnLevel && !s.inSample(entry) {
 		return nil, nil
 	}
-	line, err := s.format.Format(entry)
-	if err != nil {
-		return nil, err
+	buffer := lines.Get().(*[]byte)
+	defer lines.Put(buffer)
+	line, usual := appendLine((*buffer)[:0], entry)
+	*buffer = line
+	if !usual {
+		var err error
+		if line, err = s.format.Format(entry); err != nil {
+			return nil, err
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
