Return no unused result from the wait for a connection to a worker

The linter reported an assignment without effect in rawcall's acquire and an unused parameter in a test. wait returned whether the caller may open a connection, which a nil connection says already. Behaviour is unchanged; the package's tests pass.

--- a/internal/adapter/rawcall/pool.go
+++ b/internal/adapter/rawcall/pool.go
@@ -49,7 +49,7 @@
 		conn, w, may := p.take(address, long)
 		if w != nil {
 			var err error
-			if conn, may, err = p.wait(ctx, address, w, may); err != nil {
+			if conn, err = p.wait(ctx, address, w, may); err != nil {
 				return nil, err
 			}
 		}
@@ -105,8 +105,8 @@
 	}
 }
 
-// wait waits for a connection or the permission to open one.
-func (p *pool) wait(ctx context.Context, address string, w *waiter, may bool) (*connection, bool, error) {
+// wait waits for a connection, or returns nil with the permission to open one.
+func (p *pool) wait(ctx context.Context, address string, w *waiter, may bool) (*connection, error) {
 	var patience <-chan time.Time
 	if may {
 		timer := time.NewTimer(shareWait)
@@ -116,15 +116,15 @@
 	for {
 		select {
 		case conn := <-w.given:
-			return conn, true, nil
+			return conn, nil
 		case <-patience:
 			patience = nil
 			if p.permit(address, w) {
-				return nil, true, nil
+				return nil, nil
 			}
 		case <-ctx.Done():
 			p.abandon(address, w)
-			return nil, false, context.Cause(ctx)
+			return nil, context.Cause(ctx)
 		}
 	}
 }
--- a/internal/adapter/rawcall/rawcall_test.go
+++ b/internal/adapter/rawcall/rawcall_test.go
@@ -263,7 +263,7 @@
 
 func TestCallEndsWithItsContext(t *testing.T) {
 	release := make(chan struct{})
-	server := newRawServer(t, func(_ int64, conn net.Conn, in *bufio.Reader) {
+	server := newRawServer(t, func(_ int64, _ net.Conn, in *bufio.Reader) {
 		_, _ = readRequest(in)
 		<-release
 	})
