Say in job_waits what held a step up, and count it

Each step now keeps what held it up in its last try: free capacity, the answer of the placement policy, the pause after a failed request, the limit of its team, capacity reserved for more urgent steps, no node that is free to call the placement policy, or no worker to ask about. job_waits names it, with what is free, what of it is not reserved for more urgent steps and what is kept free for the top priority, and for a gang how many members approved workers have room for. Engine.Waits counts the ready steps by reason; balsam_owner_steps_waiting{for} shows them.

No decision changes. TestJobWaitsNamesWhatHeldTheStepUp checks the reasons; the line had none before.

--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -329,10 +329,14 @@
 func (s *ownerSession) updateGauges() {
 	s.mu.Lock()
 	jobs, waiting, placed := s.engine.Counts()
+	waits := s.engine.Waits()
 	s.mu.Unlock()
 	metrics.GetOrCreateCounter("balsam_owner_jobs").Set(uint64(jobs))
 	metrics.GetOrCreateCounter("balsam_owner_tasks_waiting").Set(uint64(waiting))
 	metrics.GetOrCreateCounter("balsam_owner_tasks_placed").Set(uint64(placed))
+	for _, reason := range dispatch.WaitReasons {
+		metrics.GetOrCreateCounter(fmt.Sprintf("balsam_owner_steps_waiting{for=%q}", reason)).Set(uint64(waits[reason]))
+	}
 }
 
 // countOrder counts the answers to orders by kind of order.
--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -54,7 +54,15 @@
 // workers and could use them. The workers are divided among several requests, which
 // the placement policy serves at the same time for different callers.
 func (e *Engine) requestAdvice(s *step, now time.Duration) {
-	if !e.requiresAdvice(s) || s.awaitsAdvice(now) || now < s.adviceRetryAt {
+	switch {
+	case !e.requiresAdvice(s):
+		e.waits(s, WaitCapacity)
+		return
+	case s.awaitsAdvice(now):
+		e.waits(s, WaitAnswer)
+		return
+	case now < s.adviceRetryAt:
+		e.waits(s, WaitRetry)
 		return
 	}
 	demand := s.spec.Size
@@ -62,11 +70,17 @@
 		demand = demand.Scale(int64(len(s.tasks)))
 	}
 	jobTeam := s.occurrence.job.team
-	if !s.spec.footprint().Fits(e.unreserved) || !withinLimit(jobTeam, e.reserved[jobTeam].Add(demand)) {
-		return // the rest is reserved for more urgent steps
+	if !withinLimit(jobTeam, e.reserved[jobTeam].Add(demand)) {
+		e.waits(s, WaitTeamLimit)
+		return
+	}
+	if !s.spec.footprint().Fits(e.unreserved) {
+		e.waits(s, WaitReserved)
+		return
 	}
 	queue := e.queue(s.occurrence.job)
 	candidates := e.adviceCandidates(s, now)
+	e.waits(s, WaitCandidate)
 	batch := adviceBatch(queue, len(candidates))
 	for chunk := range slices.Chunk(candidates, batch) {
 		o := s.occurrence
@@ -76,6 +90,7 @@
 		}
 		if !e.adviceInFlight.begin(request.ExpectedLatency, e.advisors) {
 			if !s.awaitsAdvice(now) {
+				e.waits(s, WaitAdvisor)
 				e.awaitingAdvisor = append(e.awaitingAdvisor, s)
 			}
 			return
@@ -85,6 +100,7 @@
 			request.asked = append(request.asked, c.demand)
 			c.worker.asked = c.worker.asked.Add(c.demand)
 		}
+		e.waits(s, WaitAnswer)
 		s.adviceCalls++
 		s.adviceOverdue = now + overdueFactor*request.ExpectedLatency + overdueMargin
 		e.adviceRequests = append(e.adviceRequests, request)
--- a/internal/core/dispatch/readyqueue.go
+++ b/internal/core/dispatch/readyqueue.go
@@ -2,49 +2,12 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 )
 
-const (
-	// waitLogDelay is how long a step must have been due before the reason for its
-	// waiting is logged.
-	waitLogDelay = time.Second
-	// waitLogInterval is the minimum time between two such log lines of one step.
-	waitLogInterval = 5 * time.Second
-)
-
-// logWaiting emits an event with the reason why the step could not be placed
-// completely.
-func (e *Engine) logWaiting(s *step, now time.Duration, wall time.Time) {
-	if wall.Sub(s.occurrence.due) < waitLogDelay || s.waitLoggedAt != 0 && now-s.waitLoggedAt < waitLogInterval {
-		return
-	}
-	s.waitLoggedAt = now
-	size := s.spec.footprint()
-	eligible, fitting, allowed := 0, 0, 0
-	for _, w := range e.workers {
-		if !e.eligible(s, w, now) {
-			continue
-		}
-		eligible++
-		if !size.Fits(w.free()) {
-			continue
-		}
-		fitting++
-		if e.allowed(s, w, now) {
-			allowed++
-		}
-	}
-	jobTeam := s.occurrence.job.team
-	e.jobEvent("job_waits", s.occurrence.job, fmt.Sprintf(
-		"step %d: %d tasks pending, team within limit: %t, workers eligible/with free capacity/approved: %d/%d/%d, advice request in flight: %t",
-		s.index, s.pending, withinLimit(jobTeam, s.spec.Size), eligible, fitting, allowed, s.adviceCalls > 0))
-}
-
 // reserveCapacity reserves capacity for the step's pending tasks against less urgent
 // steps until the next full pass, unless its team's limit does not allow them.
 func (e *Engine) reserveCapacity(s *step) {
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -60,9 +60,9 @@
 	adviceCalls    int                 // advice requests in flight
 	adviceOverdue  time.Duration       // time from which those count as lost
 	adviceRetryAt  time.Duration
-	reservedPass   int           // last full pass since which capacity is reserved for it
-	waitLoggedAt   time.Duration // when the reason for waiting was last logged
-	blockedVersion uint64        // Engine.version at the last unsuccessful attempt to place it; zero for none
+	reservedPass   int // last full pass since which capacity is reserved for it
+	wait           wait
+	blockedVersion uint64 // Engine.version at the last unsuccessful attempt to place it; zero for none
 }
 
 // ticket is the placement policy's approval for a worker to run the step.
