Use room that more urgent waiting steps cannot get

Cause: a step asked only if its footprint fitted into the sum of the free capacity of all workers less the pending tasks of all more urgent steps, whether these could use the room soon or not. Steps that waited for answers, for approvals or for room of another shape held up all others, so that each waiting job made the next wait longer.

Fix: the sum decides only whether a step may ask about workers that other requests are expected to fill. Otherwise it asks about open capacity: what is free on a worker less what the requests in flight are expected to use of it (slots times the approval rate; before, all slots). Whatever more urgent steps could use now they have taken earlier in the pass, or they ask about it. An index by open CPU finds such workers; a step that has looked at 32 of them in vain pauses for 20 to 320 ms. A step with enough approved room asks about no more workers, and one without a free caller looks for none.

Known limit: gangs, headroom and callers still bound the share in use below 0.85.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -27,6 +27,16 @@
 	minAdviceBatch = 8
 	// maxAdviceWorkers is the maximum number of workers that a step asks about at once.
 	maxAdviceWorkers = 4 * adviceBatchSize
+	// maxAdviceVisits is the number of workers that are looked at for one step.
+	maxAdviceVisits = 4 * maxAdviceWorkers
+	// maxOpenVisits is the same for a step that may only use what others leave.
+	maxOpenVisits = maxAdviceWorkers
+	// minOpenSearchPause is the time until such a step looks for workers again after it
+	// has looked at costlyVisits ones in vain. It doubles with each further time up to
+	// maxOpenSearchPause.
+	costlyVisits       = 32
+	minOpenSearchPause = 20 * time.Millisecond
+	maxOpenSearchPause = 320 * time.Millisecond
 	// minAdviceWorkers is the number of workers that a step asks about even if fewer
 	// are expected to suffice.
 	minAdviceWorkers = 12
@@ -74,13 +84,28 @@
 		e.waits(s, WaitTeamLimit)
 		return
 	}
-	if !s.spec.footprint().Fits(e.unreserved) {
+	reserved := !s.spec.footprint().Fits(e.unreserved)
+	if reserved && now < s.openSearchAt {
 		e.waits(s, WaitReserved)
 		return
 	}
 	queue := e.queue(s.occurrence.job)
-	candidates := e.adviceCandidates(s, now)
+	if !e.adviceInFlight.admits(queue.AdviceDecision+queue.AdvicePerWorker, e.advisors) {
+		e.waits(s, WaitAdvisor)
+		e.awaitingAdvisor = append(e.awaitingAdvisor, s)
+		return
+	}
+	candidates, visits := e.adviceCandidates(s, reserved, now)
 	e.waits(s, WaitCandidate)
+	if reserved {
+		e.waits(s, WaitReserved)
+		if len(candidates) == 0 && visits >= costlyVisits {
+			s.openSearchPause = min(max(minOpenSearchPause, 2*s.openSearchPause), maxOpenSearchPause)
+			s.openSearchAt = now + s.openSearchPause
+		} else {
+			s.openSearchPause = 0
+		}
+	}
 	batch := adviceBatch(queue, len(candidates))
 	for chunk := range slices.Chunk(candidates, batch) {
 		o := s.occurrence
@@ -99,6 +124,7 @@
 			request.Workers = append(request.Workers, c.worker.info.ID)
 			request.asked = append(request.asked, c.demand)
 			c.worker.asked = c.worker.asked.Add(c.demand)
+			e.reindexOpen(c.worker)
 		}
 		e.waits(s, WaitAnswer)
 		s.adviceCalls++
@@ -125,7 +151,8 @@
 	return max(1, (workers+requests-1)/requests) // of equal size
 }
 
-// adviceCandidate is a worker to ask about and the capacity that the step would use.
+// adviceCandidate is a worker to ask about and the capacity that the step is expected
+// to use there.
 type adviceCandidate struct {
 	worker *worker
 	demand model.Resources
@@ -133,57 +160,74 @@
 
 // adviceCandidates returns the workers to ask about: those whose tickets have expired
 // if they suffice, then the workers in the step's preferred rack, then those with the
-// most free capacity. Workers that other requests in flight would fill come last.
-func (e *Engine) adviceCandidates(s *step, now time.Duration) []adviceCandidate {
+// most open capacity. Workers that other requests in flight would fill come last, and
+// not at all if the free capacity is reserved for more urgent steps. It also returns the
+// number of workers that it has looked at.
+func (e *Engine) adviceCandidates(s *step, reserved bool, now time.Duration) (list []adviceCandidate, visits int) {
 	size := s.spec.footprint()
 	queue := e.queue(s.occurrence.job)
 	rate, known := e.approvalRates[queue.Name]
 	if !known {
 		rate = initialApprovalRate
 	}
-	var list, filled []adviceCandidate
 	expected := 0.0 // approved task slots
 	seen := map[*worker]bool{}
+	candidate := func(w *worker) bool {
+		return !seen[w] && size.Fits(w.free()) && e.eligible(s, w, now) && !e.allowed(s, w, now) && e.belowWorkerLimit(s, w, 0)
+	}
 	add := func(w *worker, rate float64) {
-		if seen[w] || !size.Fits(w.free()) || !e.eligible(s, w, now) || e.allowed(s, w, now) || !e.belowWorkerLimit(s, w, 0) {
+		slots := s.adviceSlots(w, w.openCapacity())
+		if slots == 0 || !candidate(w) {
 			return
 		}
 		seen[w] = true
-		slots := s.adviceSlots(w, w.free().Sub(w.asked))
-		if slots == 0 {
-			filled = append(filled, adviceCandidate{worker: w})
-			return
-		}
 		expected += float64(slots) * rate
-		list = append(list, adviceCandidate{w, size.Scale(int64(slots))})
+		list = append(list, adviceCandidate{w, scale(size, float64(slots)*rate)})
 	}
 	enough := func() bool {
 		return len(list) >= maxAdviceWorkers || len(list) >= minAdviceWorkers && expected >= adviceSurplus*float64(s.pending)
 	}
 	for _, t := range s.tickets {
-		add(t.worker, 1) // approved before
+		if candidate(t.worker) {
+			add(t.worker, 1) // approved before
+		} else if size.Fits(t.worker.free()) && e.eligible(s, t.worker, now) && e.allowed(s, t.worker, now) {
+			expected += float64(max(0, s.adviceSlots(t.worker, t.worker.free()))) // approved still
+		}
 	}
 	if expected >= float64(s.pending) {
-		return list
+		return list, 0
+	}
+	maxVisits := maxAdviceVisits
+	if reserved {
+		maxVisits = maxOpenVisits
 	}
 	untried := func(w *worker) bool {
+		visits++
 		if !s.denied[w.info.ID] {
 			add(w, rate)
 		}
-		return !enough() && len(filled) < maxAdviceWorkers
+		return !enough() && visits < maxVisits
 	}
 	if s.spec.PreferRack != "" {
 		for w := range e.byLabel[s.spec.PreferRack] {
 			untried(w)
 		}
 	}
-	if x := e.indexes[queue.Service]; x != nil && !enough() {
+	if x := e.openIndexes[queue.Service]; x != nil && !enough() {
 		x.descend(size.MilliCPU, untried)
 	}
-	if missing := minAdviceWorkers - len(list); missing > 0 {
-		list = append(list, filled[:min(missing, len(filled))]...)
+	if x := e.indexes[queue.Service]; x != nil && !reserved && len(list) < minAdviceWorkers {
+		visits = 0
+		x.descend(size.MilliCPU, func(w *worker) bool {
+			visits++
+			if !s.denied[w.info.ID] && candidate(w) {
+				seen[w] = true
+				list = append(list, adviceCandidate{worker: w})
+			}
+			return len(list) < minAdviceWorkers && visits < maxAdviceVisits
+		})
 	}
-	return list
+	return list, visits
 }
 
 // adviceSlots returns the number of the step's pending tasks that fit into the free
@@ -207,22 +251,27 @@
 	fast, slow int
 }
 
-// begin counts a request and reports true, or false if too many are in flight for
-// the number of nodes that can call the placement policy. Slow requests may occupy at
-// most two thirds of the nodes, so that they leave nodes free for fast ones, which
-// are usually those of urgent queues.
-func (a *adviceInFlight) begin(expected time.Duration, advisors int) bool {
+// admits reports whether one more request may be in flight with the number of nodes
+// that can call the placement policy. Slow requests may occupy at most two thirds of
+// the nodes, so that they leave nodes free for fast ones, which are usually those of
+// urgent queues.
+func (a *adviceInFlight) admits(expected time.Duration, advisors int) bool {
 	if expected >= slowAdvice {
-		if a.slow >= max(1, advisors*2/3) {
-			return false
-		}
-		a.slow++
-		return true
+		return a.slow < max(1, advisors*2/3)
 	}
-	if a.fast >= 2*max(1, advisors) {
+	return a.fast < 2*max(1, advisors)
+}
+
+// begin counts a request and reports true, or false if no more is admitted.
+func (a *adviceInFlight) begin(expected time.Duration, advisors int) bool {
+	if !a.admits(expected, advisors) {
 		return false
 	}
-	a.fast++
+	if expected >= slowAdvice {
+		a.slow++
+	} else {
+		a.fast++
+	}
 	return true
 }
 
@@ -251,6 +300,7 @@
 	for i, id := range request.Workers {
 		if w, ok := e.workers[id]; ok {
 			w.asked = w.asked.Sub(request.asked[i]).Max(model.Resources{})
+			e.reindexOpen(w)
 		}
 	}
 	j, ok := e.jobs[request.Job]
--- a/internal/core/dispatch/index.go
+++ b/internal/core/dispatch/index.go
@@ -17,8 +17,10 @@
 )
 
 // workerIndex holds the listed workers of one service by free CPU, so that the cost of
-// a search does not grow with their number.
+// a search does not grow with their number. An index of open CPU leaves out what the
+// advice requests in flight are expected to use of it.
 type workerIndex struct {
+	open   bool
 	levels [freeLevels][]*worker
 	used   uint64 // bitmap of the levels with a worker
 	// next is the position in a level at which the next search for advice candidates
@@ -30,39 +32,71 @@
 	return int(min(max(milliCPU, 0)/levelWidth, freeLevels-1))
 }
 
+// indexPlace is the place of a worker in an index.
+type indexPlace struct {
+	index           *workerIndex // nil if not listed
+	level, position int
+}
+
+// place returns the worker's place in the index, or in another one of its kind.
+func (x *workerIndex) place(w *worker) *indexPlace {
+	if x.open {
+		return &w.openPlace
+	}
+	return &w.indexPlace
+}
+
+// levelOf returns the level that the worker belongs to.
+func (x *workerIndex) levelOf(w *worker) int {
+	if x.open {
+		return freeLevel(w.openCapacity().MilliCPU)
+	}
+	return freeLevel(w.free().MilliCPU)
+}
+
 func (x *workerIndex) insert(w *worker) {
-	level := freeLevel(w.free().MilliCPU)
-	w.index, w.level, w.position = x, level, len(x.levels[level])
+	level := x.levelOf(w)
+	*x.place(w) = indexPlace{x, level, len(x.levels[level])}
 	x.levels[level] = append(x.levels[level], w)
 	x.used |= 1 << level
 }
 
 func (x *workerIndex) remove(w *worker) {
-	level := x.levels[w.level]
+	place := x.place(w)
+	level := x.levels[place.level]
 	last := len(level) - 1
-	level[w.position] = level[last]
-	level[w.position].position = w.position
+	level[place.position] = level[last]
+	x.place(level[place.position]).position = place.position
 	level[last] = nil
-	x.levels[w.level] = level[:last]
+	x.levels[place.level] = level[:last]
 	if last == 0 {
-		x.used &^= 1 << w.level
+		x.used &^= 1 << place.level
 	}
-	w.index = nil
+	place.index = nil
 }
 
-// reindex moves the worker to the index and level that its service and free capacity
+// reindex moves the worker to the indexes and levels that its service and free capacity
 // call for. Workers that are not listed are in no index.
 func (e *Engine) reindex(w *worker) {
-	x := e.indexes[w.info.Service]
-	if x == nil && w.listed {
-		x = &workerIndex{}
-		e.indexes[w.info.Service] = x
+	if w.listed && e.indexes[w.info.Service] == nil {
+		e.indexes[w.info.Service] = &workerIndex{}
+		e.openIndexes[w.info.Service] = &workerIndex{open: true}
 	}
-	if w.index != nil {
-		if w.listed && w.index == x && w.level == freeLevel(w.free().MilliCPU) {
+	w.moveTo(e.indexes[w.info.Service], &w.indexPlace)
+	e.reindexOpen(w)
+}
+
+// reindexOpen is reindex after a change of the worker's open capacity alone.
+func (e *Engine) reindexOpen(w *worker) {
+	w.moveTo(e.openIndexes[w.info.Service], &w.openPlace)
+}
+
+func (w *worker) moveTo(x *workerIndex, place *indexPlace) {
+	if place.index != nil {
+		if w.listed && place.index == x && place.level == x.levelOf(w) {
 			return
 		}
-		w.index.remove(w)
+		place.index.remove(w)
 	}
 	if w.listed {
 		x.insert(w)
--- a/internal/core/dispatch/spec.go
+++ b/internal/core/dispatch/spec.go
@@ -264,7 +264,7 @@
 	// ExpectedLatency is the expected time until the placement policy answers.
 	ExpectedLatency time.Duration
 
-	asked []model.Resources // by worker, the capacity that the step would use
+	asked []model.Resources // by worker, the capacity that the step is expected to use
 }
 
 // StepName returns the name of the step in the form JOB.OCCURRENCE.STEP.
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -54,15 +54,17 @@
 	suspects      int // tasks that are suspects
 	gang          *gang
 
-	tickets        map[model.VMID]ticket
-	denied         map[model.VMID]bool // workers that the placement policy rejected
-	placedOn       map[*worker]int     // assigned tasks by worker; only kept if MaxPerWorker is set
-	adviceCalls    int                 // advice requests in flight
-	adviceOverdue  time.Duration       // time from which those count as lost
-	adviceRetryAt  time.Duration
-	reservedPass   int // last full pass since which capacity is reserved for it
-	wait           wait
-	blockedVersion uint64 // Engine.version at the last unsuccessful attempt to place it; zero for none
+	tickets         map[model.VMID]ticket
+	denied          map[model.VMID]bool // workers that the placement policy rejected
+	placedOn        map[*worker]int     // assigned tasks by worker; only kept if MaxPerWorker is set
+	adviceCalls     int                 // advice requests in flight
+	adviceOverdue   time.Duration       // time from which those count as lost
+	adviceRetryAt   time.Duration
+	openSearchAt    time.Duration // when to look again for workers with open capacity
+	openSearchPause time.Duration // since the last time that there were none
+	reservedPass    int           // last full pass since which capacity is reserved for it
+	wait            wait
+	blockedVersion  uint64 // Engine.version at the last unsuccessful attempt to place it; zero for none
 }
 
 // ticket is the placement policy's approval for a worker to run the step.
@@ -159,16 +161,20 @@
 	health        workerHealth
 	pace          int             // share of the full work rate, in percent, at which best-effort tasks may run
 	paceChangedAt time.Duration   // when pace last changed
-	asked         model.Resources // that steps would use whose advice requests about the worker are in flight
+	asked         model.Resources // that advice requests in flight about the worker are expected to use
 	counted       bool            // its free capacity is part of Engine.free
 
-	index           *workerIndex // nil if not listed
-	level, position int          // in the index
-	labels          []string     // under which Engine.byLabel holds the worker
+	indexPlace            // by free CPU
+	openPlace  indexPlace // by open CPU
+	labels     []string   // under which Engine.byLabel holds the worker
 }
 
 func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.used) }
 
+// openCapacity returns the free capacity without what the advice requests in flight
+// are expected to use of it.
+func (w *worker) openCapacity() model.Resources { return w.free().Sub(w.asked) }
+
 // occupied reports whether runs may be active on the worker.
 func (w *worker) occupied() bool { return len(w.tasks) > 0 || len(w.orphaned) > 0 }
 
@@ -202,9 +208,10 @@
 	teams        map[string]*team
 	outOfService map[model.FailureDomain]bool
 
-	workers map[model.VMID]*worker
-	indexes map[string]*workerIndex         // listed workers by service
-	byLabel map[string]map[*worker]struct{} // by label and rack
+	workers     map[model.VMID]*worker
+	indexes     map[string]*workerIndex         // listed workers by service
+	openIndexes map[string]*workerIndex         // the same by open CPU
+	byLabel     map[string]map[*worker]struct{} // by label and rack
 	// classes holds the classes of all workers that were ever on the worker list, each
 	// with the most that its workers have offered.
 	classes       map[workerClass]struct{}
@@ -274,6 +281,7 @@
 		outOfService:          map[model.FailureDomain]bool{},
 		workers:               map[model.VMID]*worker{},
 		indexes:               map[string]*workerIndex{},
+		openIndexes:           map[string]*workerIndex{},
 		byLabel:               map[string]map[*worker]struct{}{},
 		changed:               map[*step]struct{}{},
 		approvalRates:         map[string]float64{},
