Bound what waiting gangs reserve, and look only at their approved workers

What callers saw: gangs that waited for room kept up to 0.29 of the workers from all less urgent steps (BenchmarkStandingQueue), and in a small cell nothing but their own tasks ran. The owner spent most of its passes on it: 62 % of the processor time of that benchmark was reserveWorkers, which looked at all 1,100 workers for each waiting gang in each pass.

Cause: each gang that had waited 300 ms reserved all workers that it needed, however many gangs had done so. A gang could not use its own reserved workers in the passes between full ones. Its tickets were renewed only after they had expired, so that its workers went to others for the time of a call.

Fix: the most urgent gang of a pass reserves what it needs; others only while gangs have reserved no more than an eighth of the workers. The worker knows its gang. With advice only workers with a ticket are looked at, and tickets are renewed so early that the answer arrives before they expire.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -172,8 +172,9 @@
 	}
 	expected := 0.0 // approved task slots
 	seen := map[*worker]bool{}
+	answered := now + queue.AdviceDecision + adviceBatchSize*queue.AdvicePerWorker
 	candidate := func(w *worker) bool {
-		return !seen[w] && size.Fits(w.free()) && e.eligible(s, w, now) && !e.allowed(s, w, now) && e.belowWorkerLimit(s, w, 0)
+		return !seen[w] && size.Fits(w.free()) && e.eligible(s, w, now) && !e.allowed(s, w, answered) && e.belowWorkerLimit(s, w, 0)
 	}
 	add := func(w *worker, rate float64) {
 		slots := s.adviceSlots(w, w.openCapacity())
--- a/internal/core/dispatch/index.go
+++ b/internal/core/dispatch/index.go
@@ -181,7 +181,7 @@
 	if c.task.awaitsSeparation(c.now) && !e.separable(w, c.now) {
 		return false
 	}
-	if !size.Fits(free) || w.reservedPass == e.pass || !e.eligible(s, w, c.now) || !e.allowed(s, w, c.now) ||
+	if !size.Fits(free) || e.reservedForOther(s, w) || !e.eligible(s, w, c.now) || !e.allowed(s, w, c.now) ||
 		!e.belowWorkerLimit(s, w, c.planned[w]) {
 		return false
 	}
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -166,16 +166,35 @@
 	return true
 }
 
+// gangReserveShare is the fraction of the listed workers that gangs together may have
+// reserved. The most urgent gang of a pass reserves what it needs.
+const gangReserveShare = 0.125
+
 // reserveWorkers reserves workers for the gang in this pass, so that they get no
 // less urgent tasks and the gang eventually fits.
 func (e *Engine) reserveWorkers(s *step, now time.Duration) {
+	if e.gangReservePass != e.pass {
+		e.gangReservePass, e.gangReserved = e.pass, 0
+	}
+	if e.gangReserved > int(gangReserveShare*float64(e.listedWorkers)) {
+		return
+	}
 	size := s.spec.footprint()
-	candidates := make([]*worker, 0, len(e.workers))
-	for _, w := range e.workers {
-		if e.eligible(s, w, now) && w.reservedPass != e.pass && e.allowed(s, w, now) && size.Fits(w.info.Capacity) {
+	var candidates []*worker
+	add := func(w *worker) {
+		if w.reservedPass != e.pass && e.eligible(s, w, now) && e.allowed(s, w, now) && size.Fits(w.info.Capacity) {
 			candidates = append(candidates, w)
 		}
 	}
+	if e.requiresAdvice(s) {
+		for _, t := range s.tickets {
+			add(t.worker)
+		}
+	} else {
+		for _, w := range e.workers {
+			add(w)
+		}
+	}
 	slices.SortFunc(candidates, func(a, b *worker) int {
 		if c := cmp.Compare(b.free().MilliCPU, a.free().MilliCPU); c != 0 {
 			return c
@@ -187,11 +206,18 @@
 		if missing <= 0 {
 			return
 		}
-		w.reservedPass = e.pass
+		w.reservedPass, w.reservedFor = e.pass, s
+		e.gangReserved++
 		missing -= fitCount(size, w.info.Capacity)
 	}
 }
 
+// reservedForOther reports whether a gang other than the step has reserved the worker
+// in this pass.
+func (e *Engine) reservedForOther(s *step, w *worker) bool {
+	return w.reservedPass == e.pass && w.reservedFor != s
+}
+
 // fitCount returns how many times size fits into capacity.
 func fitCount(size, capacity model.Resources) int {
 	count := int64(1 << 20)
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -158,6 +158,7 @@
 	acked         uint64               // sequence number up to which ends are durable
 	handled       uint64               // sequence number up to which ends were applied
 	reservedPass  int                  // last pass in which a gang reserved it
+	reservedFor   *step                // the gang
 	health        workerHealth
 	pace          int             // share of the full work rate, in percent, at which best-effort tasks may run
 	paceChangedAt time.Duration   // when pace last changed
@@ -236,6 +237,8 @@
 	topPriority           int                       // lowest priority value of all queues, the most urgent
 	remainders            []remainder               // by urgency, from the last full pass
 	reserved              map[*team]model.Resources // by team, since the last full pass
+	gangReservePass       int                       // last pass in which a gang reserved workers
+	gangReserved          int                       // workers reserved in it
 	adviceInFlight        adviceInFlight
 	awaitingAdvisor       []*step            // by urgency; found no free advisor since the last full pass
 	advisors              int                // nodes that can call the placement policy
