Let the headroom for urgent bursts keep at most a quarter of the capacity

Cause: less urgent tasks must leave 1.25 times the recent peak of the top priority free, less what it uses, and the peak halves only every 2 s. After a burst that filled the cell that is more than half of it.

TestHeadroomAfterUrgentBurstLeavesWorkersToOthers, with the bound removed: "14" is not greater than or equal to "32" (places of 64).

Fix: the headroom is bounded by a quarter of the capacity of all workers.

--- a/internal/core/dispatch/headroom.go
+++ b/internal/core/dispatch/headroom.go
@@ -12,6 +12,9 @@
 	// is kept free on top of that peak. Without it, a burst of top-priority jobs waits
 	// until longer, less urgent tasks end.
 	headroomShare = 0.25
+	// maxHeadroomShare bounds the headroom, as a fraction of the capacity of all workers.
+	// The peak of a burst would otherwise keep most of the workers idle after its end.
+	maxHeadroomShare = 0.25
 	// peakHalfLife is the half-life of the exponentially decaying peak of top-priority
 	// usage.
 	peakHalfLife = 2 * time.Second
@@ -50,7 +53,7 @@
 	if e.isTopPriority(s) || s.spec.LongRunning {
 		return model.Resources{}
 	}
-	return e.topPriorityUsage.headroom()
+	return e.topPriorityUsage.headroom().Min(scale(e.capacity, maxHeadroomShare))
 }
 
 // isTopPriority reports whether the step's queue has the highest priority.
