Ask about more workers in a call while the callers are busy

What callers saw: with room free, 100 to 180 steps of the slow queues waited for a node that was free to call the placement policy (BenchmarkStandingQueue after an outage of 10 s, seconds 2 to 5).

Cause: calls are cut so small that the workers add a quarter to the fixed latency. That is best for one step, but each call costs a caller 420 ms before the first worker, and slow calls may occupy two thirds of the nodes.

Fix: while more than half of these are occupied, a call names twice as many workers.

No test fails without this change; the benchmark shows it.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -43,6 +43,10 @@
 	// adviceLatencyShare bounds the time that the workers of one of several requests
 	// add to the placement policy's latency, as a fraction of the fixed part of it.
 	adviceLatencyShare = 0.25
+	// crowdedBatchFactor is the factor on the number of workers in a request while most of
+	// the nodes are occupied that slow requests may occupy. Fewer requests then wait for
+	// the fixed part of the placement policy's latency.
+	crowdedBatchFactor = 2
 	// adviceSurplus is the number of approved task slots to ask for per pending task.
 	adviceSurplus = 1.5
 	// stepsPerAnswer is the number of steps without a free advisor that are tried again
@@ -107,6 +111,9 @@
 		}
 	}
 	batch := adviceBatch(queue, len(candidates))
+	if e.adviceInFlight.crowded(e.advisors) {
+		batch *= crowdedBatchFactor
+	}
 	for chunk := range slices.Chunk(candidates, batch) {
 		o := s.occurrence
 		request := AdviceRequest{
@@ -258,7 +265,7 @@
 // urgent queues.
 func (a *adviceInFlight) admits(expected time.Duration, advisors int) bool {
 	if expected >= slowAdvice {
-		return a.slow < max(1, advisors*2/3)
+		return a.slow < slowLimit(advisors)
 	}
 	return a.fast < 2*max(1, advisors)
 }
@@ -276,6 +283,14 @@
 	return true
 }
 
+// slowLimit returns the number of slow requests that may be in flight.
+func slowLimit(advisors int) int { return max(1, advisors*2/3) }
+
+// crowded reports whether most of the nodes that slow requests may occupy are occupied.
+func (a *adviceInFlight) crowded(advisors int) bool {
+	return 2*a.slow > slowLimit(advisors)
+}
+
 func (a *adviceInFlight) end(expected time.Duration) {
 	if expected >= slowAdvice {
 		a.slow--
