Give reads of a slow log the time that it takes

What callers saw: while the store answers slowly, a node that reads nothing answers 503 for jobs that it does not know, and takes nothing over.

Cause: a read that waits for records was given 500 ms for its answer, whatever the log took for those before. With answers of more than that, each read of a quiet topic was given up shortly before its answer, for as long as the log was slow.

Evidence before (TestReadsOfASlowLogGetTheTimeThatItTakes, answers of 700 ms for 10 s): "10.58s" is not less than "2.6s" since the last read.

The tail now measures the answer time. A read that waited in vain gives it exactly, others bound it. A read gets twice that time, between 500 ms and 1 s; after a read that got no answer the estimate is at least what it waited.

--- a/internal/app/logtail/logtail.go
+++ b/internal/app/logtail/logtail.go
@@ -28,7 +28,10 @@
 	// maxReadWait bounds the wait of a read for a record, and so the time until a dead
 	// connection is noticed.
 	maxReadWait = 600 * time.Millisecond
-	readMargin  = 500 * time.Millisecond // for the answer, beyond the wait
+	// minReadMargin is the least time for the answer to a read, beyond the wait. A slow
+	// log gets twice the time of its recent answers, up to maxReadMargin.
+	minReadMargin = 500 * time.Millisecond
+	maxReadMargin = time.Second
 	// pageTimeout bounds the read of one page of the newest records, up to 1 MB.
 	pageTimeout = 2 * time.Second
 	retryPause  = 50 * time.Millisecond
@@ -50,6 +53,7 @@
 
 	recoveredAt atomic.Int64  // clock reading at which reads last succeeded again
 	lastRead    atomic.Int64  // clock reading at which the last read that reached the topic's end was sent
+	answerTime  atomic.Int64  // estimate, in nanoseconds
 	offset      atomic.Uint64 // of the next record to read
 }
 
@@ -62,6 +66,26 @@
 // an outage, zero if there was none.
 func (t *Tail) RecoveredAt() time.Duration { return time.Duration(t.recoveredAt.Load()) }
 
+// AnswerTime returns an estimate of the time that the log takes for an answer, without
+// the wait for a record. It is zero before the first read.
+func (t *Tail) AnswerTime() time.Duration { return time.Duration(t.answerTime.Load()) }
+
+// observeRead updates the estimate of the answer time after a read that took the given
+// time and was allowed to wait for a record. A read that waited in vain gives the answer
+// time. Of other reads, the answer took all of the time at most, and what exceeds the
+// wait at least; the estimate changes by the least that agrees with this.
+func (t *Tail) observeRead(took, wait time.Duration, batch port.KeyedBatch, err error) {
+	estimate := max(t.AnswerTime(), took-wait)
+	switch {
+	case err != nil: // the answer would have taken longer
+	case len(batch.Records) == 0:
+		estimate = max(0, took-wait)
+	default:
+		estimate = min(estimate, took)
+	}
+	t.answerTime.Store(int64(estimate))
+}
+
 // Offset returns the offset after the last record applied.
 func (t *Tail) Offset() uint64 { return t.offset.Load() }
 
@@ -141,9 +165,12 @@
 	if t.MaxWait != nil {
 		wait = min(wait, t.MaxWait())
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+readMargin)
+	margin := min(max(minReadMargin, 2*t.AnswerTime()), maxReadMargin)
+	callCtx, cancel := context.WithTimeout(ctx, wait+margin)
+	sent := t.Clock.Now()
 	batch, err := t.Log.Read(callCtx, t.Topic, t.Offset(), wait)
 	cancel()
+	t.observeRead(t.Clock.Now()-sent, wait, batch, err)
 	if err != nil {
 		return false, err
 	}
