Let the time of an owner's append grow with that of the one before

What callers saw: the store answers 50 to 60 times slower for 4.5 s, and the owner's appends, with all submissions and starts in them, succeed no more.

Cause: each call to append had 1 s. A large batch takes longer in a slow store. The call was then given up while the store still worked on it, and repeated under the same sequence number behind itself, so that the repeat was given up as well. The load on the partition doubled, and no answer was ever waited for.

A call now gets four times the time of the last that succeeded, and twice that of one that got no answer, between 1 s and 2.5 s. With a quick log the bound is 1 s as before, so that a lost answer costs no more. The sequence number still keeps a repeat from taking effect twice. The warning names the number of records and the times.

The stand-in of the log can execute an append whose caller has stopped waiting, as the platform may, and takes the bytes of an append at a rate.

--- a/internal/app/celltest/log_test.go
+++ b/internal/app/celltest/log_test.go
@@ -22,9 +22,12 @@
 	rng             *rand.Rand
 	delay           time.Duration // of each answer
 	appendTime      time.Duration // time that the topic needs for each append; the next one waits
+	bytesPerSecond  int           // rate at which a topic takes the bytes of an append, zero for no limit
+	finishesAll     bool          // an append is executed even if its caller has stopped waiting
 	lostProbability float64       // that an append is executed without an answer
 	lateProbability float64       // that an append gets no answer and is executed seconds later
 	down            bool
+	repeats         int // appends that repeated an executed one
 }
 
 type topic struct {
@@ -73,7 +76,13 @@
 }
 
 func (l *memLog) Append(ctx context.Context, name string, records []port.KeyedRecord, options port.AppendOptions) (uint64, error) {
-	if err := l.waitTurn(name); err != nil {
+	l.mu.Lock()
+	finishesAll := l.finishesAll
+	l.mu.Unlock()
+	if finishesAll {
+		return l.appendToTheEnd(ctx, name, records, options)
+	}
+	if err := l.waitTurn(name, records); err != nil {
 		return 0, err
 	}
 	if err := l.roundTrip(ctx); err != nil {
@@ -96,13 +105,40 @@
 	return offset, err
 }
 
+// appendToTheEnd executes the append in its turn, also if ctx ends before.
+func (l *memLog) appendToTheEnd(ctx context.Context, name string, records []port.KeyedRecord, options port.AppendOptions) (uint64, error) {
+	type result struct {
+		offset uint64
+		err    error
+	}
+	answer := make(chan result, 1)
+	go func() {
+		var r result
+		if r.err = l.waitTurn(name, records); r.err == nil {
+			l.mu.Lock()
+			r.offset, r.err = l.apply(name, records, options)
+			l.mu.Unlock()
+		}
+		if err := l.roundTrip(context.Background()); err != nil {
+			r = result{err: errNoAnswer}
+		}
+		answer <- r
+	}()
+	select {
+	case r := <-answer:
+		return r.offset, r.err
+	case <-ctx.Done():
+		return 0, errs.Wrap(ctx.Err())
+	}
+}
+
 // maxQueueTime is the longest time that an append waits for the earlier ones to its
 // topic; the log refuses appends that would wait longer.
 const maxQueueTime = 2 * time.Second
 
 // waitTurn waits until the topic has executed the earlier appends and this one. It
 // returns port.Refused if the wait for the earlier ones would exceed maxQueueTime.
-func (l *memLog) waitTurn(name string) error {
+func (l *memLog) waitTurn(name string, records []port.KeyedRecord) error {
 	l.mu.Lock()
 	t := l.topic(name)
 	now := time.Now()
@@ -113,13 +149,26 @@
 		l.mu.Unlock()
 		return port.Refused.New("too many appends are queued")
 	}
-	t.idleAt = t.idleAt.Add(l.appendTime)
+	t.idleAt = t.idleAt.Add(l.appendTime + l.transferTime(records))
 	turn := t.idleAt
 	l.mu.Unlock()
 	time.Sleep(time.Until(turn))
 	return nil
 }
 
+// transferTime returns the time that a topic needs for the bytes of an append. The
+// caller holds mu.
+func (l *memLog) transferTime(records []port.KeyedRecord) time.Duration {
+	if l.bytesPerSecond == 0 {
+		return 0
+	}
+	size := 0
+	for _, record := range records {
+		size += len(record.Key) + len(record.Value)
+	}
+	return time.Duration(float64(size) / float64(l.bytesPerSecond) * float64(time.Second))
+}
+
 func (l *memLog) apply(name string, records []port.KeyedRecord, options port.AppendOptions) (uint64, error) {
 	t := l.topic(name)
 	end := t.first + uint64(len(t.records))
@@ -136,6 +185,7 @@
 			return 0, port.Fenced.New("producer has epoch %d", state.epoch)
 		}
 		if offset, repeated := state.offsets[p.Sequence]; repeated {
+			l.repeats++
 			return offset, nil
 		}
 		if p.Sequence != state.next {
--- /dev/null
+++ b/internal/app/celltest/slowappend_test.go
@@ -0,0 +1,50 @@
+package celltest
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The log of the large site when it is calm.
+const (
+	calmAnswer = 4 * time.Millisecond
+	calmAppend = 2 * time.Millisecond
+	calmBytes  = 20 << 20 // a second
+)
+
+// setSpeed makes the log the given factor slower than when it is calm.
+func (c *cell) setSpeed(factor int) {
+	c.setLog(func(l *memLog) {
+		l.delay, l.appendTime = time.Duration(factor)*calmAnswer, time.Duration(factor)*calmAppend
+		l.bytesPerSecond, l.finishesAll = calmBytes/factor, true
+	})
+}
+
+// An append that is repeated while the log still works on it waits behind itself, and
+// takes the log's time twice.
+func TestSlowAppendsAreNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 1, cellWorkers)
+		time.Sleep(3 * time.Second)
+		owner := c.node(0).cellDispatcher
+		require.True(t, owner.Owning())
+		epoch := owner.Epoch()
+		c.setLog(func(l *memLog) {
+			l.delay, l.appendTime, l.finishesAll = 200*time.Millisecond, 1100*time.Millisecond, true
+		})
+		time.Sleep(20 * time.Second)
+		c.log.mu.Lock()
+		repeats := c.log.repeats
+		c.log.mu.Unlock()
+		assert.LessOrEqual(t, repeats, 1, "the first append that took longer than those before it")
+		assert.True(t, owner.Owning())
+		assert.Equal(t, epoch, owner.Epoch())
+		c.setSpeed(1)
+		time.Sleep(3 * time.Second)
+		c.close()
+	})
+}
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -235,17 +235,20 @@
 // append writes records under the session's epoch and returns the offset of the
 // first. It retries until the append succeeds, fails with Fenced or Conflict, or the
 // context ends. The sequence number keeps a retried append from taking effect twice.
-// An error ends the session.
+// A call without an answer is followed by one that may take longer. An error ends the
+// session.
 func (s *ownerSession) append(ctx context.Context, records []port.KeyedRecord) (uint64, error) {
 	producer := port.Producer{Name: producerName, Epoch: s.epoch, Sequence: s.sequence}
 	retried := false
+	timeout := min(max(minAppendTimeout, appendTimeFactor*time.Duration(s.lastAppendTime.Load())), maxAppendTimeout)
 	for {
 		sent := s.Clock.Now()
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		offset, err := s.Log.Append(callCtx, replica.CellTopic, records, port.AppendOptions{Producer: &producer})
 		cancel()
 		if err == nil {
 			s.sequence++
+			s.lastAppendTime.Store(int64(s.Clock.Now() - sent))
 			s.lastAppendSent.Store(int64(sent))
 			if retried {
 				s.Logger.WithField("waited_ms", (s.Clock.Now() - sent).Milliseconds()).Info("cell log accepts appends again")
@@ -265,7 +268,10 @@
 			retried = true
 			s.appendFailing.Store(true)
 			defer s.appendFailing.Store(false)
-			s.Logger.WithError(err).Warn("cell log append failed; retrying")
+			s.Logger.WithError(err).WithFields(logrus.Fields{"records": len(records), "took_ms": (s.Clock.Now() - sent).Milliseconds(), "timeout_ms": timeout.Milliseconds()}).Warn("cell log append failed; retrying")
+		}
+		if s.Clock.Now()-sent >= timeout {
+			timeout = min(2*timeout, maxAppendTimeout)
 		}
 		if err := sleep(ctx, retryPause); err != nil {
 			return 0, err
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -187,6 +187,7 @@
 
 	sequence           uint64        // of the next append
 	lastAppendSent     atomic.Int64  // clock reading at which the latest successful append was sent
+	lastAppendTime     atomic.Int64  // of the call that was answered with success last, in nanoseconds
 	listWasCurrent     bool          // in the last commit round; used by the commit loop only
 	appendFailing      atomic.Bool   // the current append has failed at least once
 	lastHeartbeat      time.Duration // clock reading at the last heartbeat; used by the commit loop only
@@ -215,8 +216,14 @@
 	// takeOverTimeout bounds the time until the replica has read this owner's first
 	// heartbeat.
 	takeOverTimeout = 3 * time.Second
-	appendTimeout   = time.Second // of one call
-	retryPause      = 50 * time.Millisecond
+	// A call to append gets appendTimeFactor times the time of the one before, at least
+	// minAppendTimeout: a call that is repeated while the log still works on it waits
+	// behind itself. maxAppendTimeout is less than the age of the latest append at which
+	// other nodes replace an owner.
+	appendTimeFactor = 4
+	minAppendTimeout = time.Second
+	maxAppendTimeout = 2500 * time.Millisecond
+	retryPause       = 50 * time.Millisecond
 	// heartbeatInterval is the time between two heartbeat records, which show that
 	// the owner can still write.
 	heartbeatInterval = 250 * time.Millisecond
