Ask an owner whose heartbeat is missing before replacing it

An owner that had not ended was replaced, its successor 1.7 s later as well, and for 3 to 4 s no run was placed and no submission accepted.

Cause: a node claimed the cell from the age of the last heartbeat that it had read, against three times the usual interval. A heartbeat is part of the owner's appends, so that one append that took long made the owner look dead. The node did not ask what a replacement could do better: its first append goes to the same partition of the same slow store.

An owner that answers a peer call now says how long ago the log answered its latest append. Before a claim for a missing heartbeat, a node postpones it if the owner has answered within 550 ms and that append is younger than 15 times the time in which the log answers this node, at least 450 ms, at most 3 s. After 3 s an owner renews no leases, so that a replacement can only help. An answer of an older version has no age and postpones nothing. Fencing stays what keeps two owners apart.

An overdue owner is asked at most once in the log's answer time (250 ms at most) by each node, instead of every 50 ms by all of them, while the log is slow. The wait for the first heartbeat of a newer claim grows in the same way.

"cell claimed" and "claim postponed" name the inputs and their ages. The cells of celltest bound the wait of their reads as balsam-node does while a heartbeat is overdue.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -58,6 +58,8 @@
 	// askOwner answers a node that asks the owner whether it has stopped; nil if no
 	// owner answers.
 	askOwner atomic.Pointer[func(asking *cellNode, owner replica.OwnerHeartbeat) bool]
+	// shortReads bounds the wait of reads as balsam-node does while a heartbeat is overdue.
+	shortReads atomic.Bool
 }
 
 var cellQueue = dispatch.Queue{Name: "q", Service: "pattern", MaxAttempts: 4, Slowdown: 4, BaseLatency: time.Second}
@@ -136,6 +138,12 @@
 			return ask != nil && (*ask)(n, owner)
 		},
 	}
+	tail.MaxWait = func() time.Duration {
+		if c.shortReads.Load() && n.candidate.OwnerOverdue() {
+			return 100 * time.Millisecond
+		}
+		return time.Second
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go tail.Run(ctx)
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -250,6 +250,7 @@
 			s.sequence++
 			s.lastAppendTime.Store(int64(s.Clock.Now() - sent))
 			s.lastAppendSent.Store(int64(sent))
+			s.owner.appendedAt.Store(int64(s.Clock.Now()))
 			if retried {
 				s.Logger.WithField("waited_ms", (s.Clock.Now() - sent).Milliseconds()).Info("cell log accepts appends again")
 			}
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -56,7 +56,10 @@
 	owning    atomic.Bool
 	resigning atomic.Bool
 	epoch     atomic.Uint64 // of the latest session
-	session   atomic.Pointer[ownerSession]
+	// appendedAt is the clock reading at which the log last answered an append of the
+	// latest session, or at which that session began if that is later.
+	appendedAt atomic.Int64
+	session    atomic.Pointer[ownerSession]
 }
 
 // New returns a Dispatcher.
@@ -72,6 +75,12 @@
 // Epoch returns the epoch of the latest session.
 func (d *Dispatcher) Epoch() uint64 { return d.epoch.Load() }
 
+// AppendAge returns the time since the log last answered an append of this node as the
+// owner, or since the latest session began if that is later.
+func (d *Dispatcher) AppendAge() time.Duration {
+	return d.options.Clock.Now() - time.Duration(d.appendedAt.Load())
+}
+
 // Resign ends the current session, and any later one, with its next append.
 func (d *Dispatcher) Resign() { d.resigning.Store(true) }
 
@@ -89,6 +98,7 @@
 		acksDurable: make(chan struct{}),
 		engine:      dispatch.New(d.options.Engine),
 	}
+	d.appendedAt.Store(int64(s.Clock.Now()))
 	d.epoch.Store(epoch)
 	d.owning.Store(true)
 	defer d.owning.Store(false)
--- a/internal/app/election/election.go
+++ b/internal/app/election/election.go
@@ -31,6 +31,22 @@
 	// whether it still serves: more than the usual time between two heartbeats.
 	overdueAfter = 400 * time.Millisecond
 	queryTimeout = 200 * time.Millisecond
+	// recentAppend is the age of the owner's latest append up to which an owner that
+	// answers is not replaced: that of a heartbeat that counts as missing, less the
+	// usual time between two.
+	recentAppend = 450 * time.Millisecond
+	// While the log is slow, an owner that answers has answerFactor times the time in
+	// which the log answers this node, since a replacement's append would take as long.
+	// An owner that has made no append for maxAppendAge renews no leases, so that a
+	// replacement can only help.
+	answerFactor = 15
+	maxAppendAge = 3 * time.Second
+	// An answer of the owner counts for answerValidity, so that a single lost answer does
+	// not make it look dead: the time until the next call and that call's time.
+	answerValidity = 550 * time.Millisecond
+	// maxAskInterval bounds the time between two calls to an owner whose heartbeat is
+	// overdue; the time in which the log answers bounds it, too.
+	maxAskInterval = 250 * time.Millisecond
 	// checkInterval is the time between two checks of the owner's heartbeat.
 	checkInterval = 50 * time.Millisecond
 	// claimJitter bounds the random delay that keeps nodes from claiming at the same
@@ -64,7 +80,8 @@
 	// Stopping reports whether the node is shutting down and must not claim.
 	Stopping func() bool
 	// OwnerStopped calls the owner and reports whether it no longer serves or its
-	// process has ended. It returns false if the call shows neither.
+	// process has ended. It returns false if the call shows neither. If the owner
+	// answers that it serves, the replica keeps the age of its latest append.
 	OwnerStopped func(ctx context.Context, owner replica.OwnerHeartbeat) bool
 	Peers        Peers
 	// Handovers holds an epoch that another node has claimed for this one; its
@@ -74,6 +91,9 @@
 	// contestedEpoch is the epoch of the owner that this node last failed to replace
 	// because another node had claimed the cell first.
 	contestedEpoch uint64
+	askedEpoch     uint64        // of the owner that was asked last
+	askedAt        time.Duration // when that call had ended
+	postponed      postponement  // the latest that was logged
 	newerClaim     uint64        // epoch of the newest claim without a heartbeat
 	newerClaimAt   time.Duration // when it was first seen
 }
@@ -84,7 +104,12 @@
 	for ctx.Err() == nil {
 		lastRead := c.Tail.LastRead() // before the owner, whose heartbeats it must not outrun
 		owner := c.Replica.Owner()
-		missing := c.ownerMissing(owner, lastRead, started) || c.ownerStopped(ctx, owner)
+		missing := c.ownerMissing(owner, lastRead, started)
+		if missing {
+			missing = !c.ownerAppends(ctx, owner)
+		} else {
+			missing = c.ownerStopped(ctx, owner)
+		}
 		epoch, handedOver := c.pendingHandover()
 		if !handedOver && (!missing || c.Stopping()) {
 			if epoch, handedOver = c.awaitHandover(ctx); !handedOver {
@@ -112,7 +137,9 @@
 func (c *Candidate) serve(ctx context.Context, epoch uint64) {
 	previous := c.Replica.Owner()
 	metrics.GetOrCreateCounter("balsam_owner_claims_total").Inc()
-	c.Logger.WithFields(logrus.Fields{"epoch": epoch, "former_owner": previous.Node, "silent_ms": (c.Clock.Now() - previous.ReadAt).Milliseconds()}).Info("cell claimed")
+	fields := c.ownerFields(previous)
+	fields["epoch"], fields["former_owner"] = epoch, previous.Node
+	c.Logger.WithFields(fields).Info("cell claimed")
 	c.announce(ctx, epoch)
 	err := c.Owner.Serve(ctx, epoch)
 	// Run follows the owner again, as before the claim.
@@ -157,9 +184,82 @@
 	if !c.overdue(owner) || owner.Epoch == 0 || owner.Node == c.Node || c.Tail.LastRead() < owner.ReadAt {
 		return false
 	}
+	if c.askedEpoch == owner.Epoch && c.Clock.Now()-c.askedAt < min(c.Tail.AnswerTime(), maxAskInterval) {
+		return false
+	}
+	return c.ask(ctx, owner)
+}
+
+// ask calls the owner and reports whether it has stopped.
+func (c *Candidate) ask(ctx context.Context, owner replica.OwnerHeartbeat) bool {
 	callCtx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	return c.OwnerStopped(callCtx, owner)
+	stopped := c.OwnerStopped(callCtx, owner)
+	c.askedEpoch, c.askedAt = owner.Epoch, c.Clock.Now()
+	return stopped
+}
+
+// ownerAppends reports whether an owner whose heartbeat is missing serves all the same
+// and a replacement would do no better: it has answered that it serves, and the log has
+// answered an append of it lately, or answers this node as slowly. It calls the owner
+// unless the latest call has just ended.
+func (c *Candidate) ownerAppends(ctx context.Context, owner replica.OwnerHeartbeat) bool {
+	if owner.Epoch == 0 || owner.Resigned || owner.Node == c.Node {
+		return false
+	}
+	if c.askedEpoch != owner.Epoch || c.Clock.Now()-c.askedAt > maxAskInterval {
+		if c.ask(ctx, owner) {
+			return false
+		}
+	}
+	current, now := c.Replica.Owner(), c.Clock.Now()
+	if current.Epoch != owner.Epoch || current.AskedAt == 0 || now-current.AskedAt > answerValidity {
+		return false
+	}
+	if now-current.AppendedAt > c.patience() {
+		return false
+	}
+	c.logPostponed(current)
+	return true
+}
+
+// patience returns the age of the owner's latest append up to which a replacement would
+// do no better.
+func (c *Candidate) patience() time.Duration {
+	return min(max(recentAppend, answerFactor*c.Tail.AnswerTime()), maxAppendAge)
+}
+
+// postponement identifies a silence of an owner in which this node postponed its claim.
+type postponement struct {
+	epoch  uint64
+	readAt time.Duration // of the last heartbeat
+}
+
+// logPostponed logs that the cell is not claimed, once for each heartbeat that is
+// missing.
+func (c *Candidate) logPostponed(owner replica.OwnerHeartbeat) {
+	current := postponement{epoch: owner.Epoch, readAt: owner.ReadAt}
+	if current == c.postponed {
+		return
+	}
+	c.postponed = current
+	fields := c.ownerFields(owner)
+	fields["epoch"], fields["owner"] = owner.Epoch, owner.Node
+	c.Logger.WithFields(fields).Info("claim postponed, since the owner serves and a replacement's append would take as long")
+}
+
+// ownerFields returns the inputs of a decision on a claim as log fields.
+func (c *Candidate) ownerFields(owner replica.OwnerHeartbeat) logrus.Fields {
+	now := c.Clock.Now()
+	fields := logrus.Fields{
+		"silent_ms": (now - owner.ReadAt).Milliseconds(), "log_answer_ms": c.Tail.AnswerTime().Milliseconds(),
+		"read_age_ms": (now - c.Tail.LastRead()).Milliseconds(), "patience_ms": c.patience().Milliseconds(),
+	}
+	if owner.AskedAt != 0 {
+		fields["owner_answer_age_ms"] = (now - owner.AskedAt).Milliseconds()
+		fields["owner_append_age_ms"] = (now - owner.AppendedAt).Milliseconds()
+	}
+	return fields
 }
 
 // claim appends a claim of this node and returns its epoch. oldEpoch is the epoch
@@ -209,7 +309,7 @@
 	if c.newerClaim != epoch {
 		c.newerClaim, c.newerClaimAt = epoch, c.Clock.Now()
 	}
-	return c.Tail.LastRead()-c.newerClaimAt > minOwnerTimeout
+	return c.Tail.LastRead()-c.newerClaimAt > max(minOwnerTimeout, c.patience())
 }
 
 // topicEnd returns the end of the owners' topic and the epoch of the newest
--- a/internal/app/node/peers.go
+++ b/internal/app/node/peers.go
@@ -122,14 +122,22 @@
 )
 
 // ownerStopped reports whether the owner answers that it no longer serves, or
-// refuses the connection because its process has ended.
+// refuses the connection because its process has ended. If the owner answers that it
+// serves, the replica keeps the age of its latest append.
 func (n *node) ownerStopped(ctx context.Context, owner replica.OwnerHeartbeat) bool {
+	askedAt := n.clock.Now()
 	reply, err := n.call(ctx, owner.Node, &peerpb.Request{Body: &peerpb.Request_OwnerQuery{OwnerQuery: &peerpb.OwnerQuery{Epoch: owner.Epoch}}})
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED) && !peer.RedialPending.Has(err)
 	}
 	answer := reply.GetOwnerReply()
-	return answer != nil && !answer.GetServing()
+	if answer == nil {
+		return false
+	}
+	if answer.GetServing() && answer.AppendAgeMs != nil {
+		n.replica.OwnerAnswered(owner.Epoch, askedAt, askedAt-time.Duration(answer.GetAppendAgeMs())*time.Millisecond)
+	}
+	return !answer.GetServing()
 }
 
 // OtherNodes implements election.Peers.
@@ -170,9 +178,11 @@
 // Serve implements port.PeerHandler.
 func (n *node) Serve(ctx context.Context, request *peerpb.Request) *peerpb.Response {
 	if query := request.GetOwnerQuery(); query != nil {
-		return &peerpb.Response{Body: &peerpb.Response_OwnerReply{OwnerReply: &peerpb.OwnerReply{
-			Serving: n.owner.Serving(query.GetEpoch()), Fit: n.candidate.CanTakeOver(),
-		}}}
+		reply := &peerpb.OwnerReply{Serving: n.owner.Serving(query.GetEpoch()), Fit: n.candidate.CanTakeOver()}
+		if reply.GetServing() {
+			reply.AppendAgeMs = new(uint64(n.owner.AppendAge().Milliseconds()))
+		}
+		return &peerpb.Response{Body: &peerpb.Response_OwnerReply{OwnerReply: reply}}
 	}
 	if change := request.GetOwnerChange(); change != nil {
 		ack := &peerpb.Ack{}
--- a/internal/app/replica/apply.go
+++ b/internal/app/replica/apply.go
@@ -52,6 +52,7 @@
 	}
 	next := OwnerHeartbeat{Epoch: heartbeat.GetEpoch(), Node: heartbeat.GetNode(), Resigned: heartbeat.GetResigned(), ReadAt: r.clock.Now()}
 	if next.Epoch == r.owner.Epoch {
+		next.AskedAt, next.AppendedAt = r.owner.AskedAt, r.owner.AppendedAt
 		next.Interval = (3*r.owner.Interval + min(next.ReadAt-r.owner.ReadAt, maxInterval)) / 4
 	}
 	r.owner = next
--- a/internal/app/replica/replica.go
+++ b/internal/app/replica/replica.go
@@ -98,6 +98,11 @@
 	Resigned bool
 	ReadAt   time.Duration // clock reading at which it was read
 	Interval time.Duration // smoothed time between heartbeats
+	// AskedAt is the clock reading at which this node last asked the owner and was
+	// answered that it serves, zero if it was not. AppendedAt is the latest clock
+	// reading at which, by that answer, the log had answered an append of the owner.
+	AskedAt    time.Duration
+	AppendedAt time.Duration
 }
 
 // notification is a change that the listener has yet to receive.
@@ -298,6 +303,17 @@
 	}
 }
 
+// OwnerAnswered records that the owner of the epoch answered a call sent at askedAt: it
+// serves, and the log had answered its latest append at appendedAt. Both are readings of
+// this node's clock. It does nothing if another owner is known.
+func (r *Replica) OwnerAnswered(epoch uint64, askedAt, appendedAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if epoch == r.owner.Epoch {
+		r.owner.AskedAt, r.owner.AppendedAt = askedAt, appendedAt
+	}
+}
+
 // PeersBySuitability returns the names of the nodes other than the given one, in the
 // order in which they should own the cell: those on the largest VMs first, of these
 // the last started, since a rolling restart reaches it last.
