Send starts although the append that stores them took long

What callers saw: while the store is slow no run starts, for as long as appends take more than 1 s, though the owner stores the placements.

Cause: starts follow the append that stores them, and were sent only within 1 s of the sending of the latest append with an answer. After an append of more than 1 s every start was dropped unsent and placed again by the next append, which took as long.

The limit for starts is now 1 s beyond the time of the latest append, and at most that of renewals (3 s), for which a new owner that can't reach a worker waits anyway. The fencing token keeps out an owner that has been replaced. With a quick log the limit is 1 s plus milliseconds. Orders for upkeep can't be taken back and keep the limit of 1 s.

--- a/internal/app/celltest/slowappend_test.go
+++ b/internal/app/celltest/slowappend_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 )
 
+const retryAfter = 200 * time.Millisecond // of a caller whose submission was not accepted
+
 // The log of the large site when it is calm.
 const (
 	calmAnswer = 4 * time.Millisecond
@@ -48,3 +50,32 @@
 		c.close()
 	})
 }
+
+// The orders of a batch follow its append. If an append takes longer than the time for
+// which it confirms the owner, none would ever be sent.
+func TestRunsStartWhileAppendsTakeLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const answer, appendTime = 200 * time.Millisecond, 1100 * time.Millisecond
+		c := newCell(t, 1, 1, cellWorkers)
+		time.Sleep(3 * time.Second)
+		require.True(t, c.node(0).cellDispatcher.Owning())
+		c.setLog(func(l *memLog) { l.delay, l.appendTime, l.finishesAll = answer, appendTime, true })
+		time.Sleep(6 * time.Second)
+		for i := range 5 {
+			id := c.registerJob(i, smallSpec(), 500*time.Millisecond)
+			at := time.Now()
+			for time.Since(at) < 4*time.Second && !c.submitAt(0, id, smallSpec()) {
+				time.Sleep(retryAfter)
+			}
+			time.Sleep(time.Second)
+			c.fleet.mu.Lock()
+			started := c.fleet.jobs[id].firstStart
+			c.fleet.mu.Unlock()
+			assert.False(t, started.IsZero(), "job %d has not started %v after its first submission", i, time.Since(at))
+		}
+		c.setSpeed(1)
+		time.Sleep(10 * time.Second)
+		assert.Empty(t, c.fleet.violations)
+		c.close()
+	})
+}
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -372,6 +372,13 @@
 	return s.Clock.Now()-time.Duration(s.lastAppendSent.Load()) < d
 }
 
+// mayStart reports whether starts may still be sent. An append confirms this owner only
+// with its answer, so that a slow log has the time of the latest append beyond
+// maxUnconfirmedOrder. A start grants a lease and is never sent later than a renewal.
+func (s *ownerSession) mayStart() bool {
+	return s.confirmedWithin(min(maxUnconfirmedOrder+time.Duration(s.lastAppendTime.Load()), maxUnconfirmedRenewal))
+}
+
 // sleep waits for d. It returns the cause if the context ended meanwhile.
 func sleep(ctx context.Context, d time.Duration) error {
 	pause.Sleep(ctx, d)
--- a/internal/app/dispatcher/orders.go
+++ b/internal/app/dispatcher/orders.go
@@ -33,7 +33,7 @@
 		if !current && unknown {
 			return // the first reports of the new incarnation show whether the run exists
 		}
-		if leaseUntil == 0 || !current || !s.confirmedWithin(maxUnconfirmedOrder) {
+		if leaseUntil == 0 || !current || !s.mayStart() {
 			break
 		}
 		callCtx, cancel := context.WithTimeout(ctx, startTimeout)
