Compare an owner's append with the log's answers when it was sent

What callers saw: an owner that had come through a slow store was replaced in the moment in which the store was quick again.

Cause: the patience with an owner that answers follows the log's current answer time. An append that was sent while the log was slow may wait behind others when the log answers reads in 4 ms again; it then looked as if the log answered this node much sooner than the owner.

--- a/internal/app/celltest/slowlog_test.go
+++ b/internal/app/celltest/slowlog_test.go
@@ -149,6 +149,27 @@
 	})
 }
 
+// An append that was sent while the log was slow may wait for earlier ones when the log
+// answers quickly again.
+func TestOwnerIsNotReplacedWhenTheLogBecomesQuickAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newSlowLogCell(t)
+		owner := c.ownerIndex()
+		require.GreaterOrEqual(t, owner, 0)
+		epoch := c.node(owner).cellDispatcher.Epoch()
+		c.setSpeed(slowFactor)
+		c.queueAppends(100*time.Millisecond, time.Second)
+		c.queueAppends(1900*time.Millisecond, 700*time.Millisecond)
+		c.setSpeed(1)
+		time.Sleep(5 * time.Second)
+		assert.True(t, c.node(owner).cellDispatcher.Owning())
+		for i := range c.nodes {
+			assert.LessOrEqual(t, c.node(i).cellDispatcher.Epoch(), epoch, "%s has claimed the cell", c.node(i).name)
+		}
+		c.close()
+	})
+}
+
 // The owner's end must be noticed while the log is slow, too.
 func TestOwnerThatEndsWhileTheLogIsSlowIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/app/election/election.go
+++ b/internal/app/election/election.go
@@ -37,6 +37,8 @@
 	recentAppend = 450 * time.Millisecond
 	// While the log is slow, an owner that answers has answerFactor times the time in
 	// which the log answers this node, since a replacement's append would take as long.
+	// That time is the longest of the last maxAppendAge, in which an append that has no
+	// answer yet was sent.
 	// An owner that has made no append for maxAppendAge renews no leases, so that a
 	// replacement can only help.
 	answerFactor = 15
@@ -94,6 +96,8 @@
 	askedEpoch     uint64        // of the owner that was asked last
 	askedAt        time.Duration // when that call had ended
 	postponed      postponement  // the latest that was logged
+	slowestAnswer  time.Duration // of the log, of the last maxAppendAge
+	slowestAt      time.Duration // when it was seen
 	newerClaim     uint64        // epoch of the newest claim without a heartbeat
 	newerClaimAt   time.Duration // when it was first seen
 }
@@ -102,6 +106,7 @@
 func (c *Candidate) Run(ctx context.Context) {
 	started := c.Clock.Now()
 	for ctx.Err() == nil {
+		c.observeLog()
 		lastRead := c.Tail.LastRead() // before the owner, whose heartbeats it must not outrun
 		owner := c.Replica.Owner()
 		missing := c.ownerMissing(owner, lastRead, started)
@@ -226,7 +231,15 @@
 // patience returns the age of the owner's latest append up to which a replacement would
 // do no better.
 func (c *Candidate) patience() time.Duration {
-	return min(max(recentAppend, answerFactor*c.Tail.AnswerTime()), maxAppendAge)
+	return min(max(recentAppend, answerFactor*c.slowestAnswer), maxAppendAge)
+}
+
+// observeLog records the log's current answer time.
+func (c *Candidate) observeLog() {
+	now, current := c.Clock.Now(), c.Tail.AnswerTime()
+	if current >= c.slowestAnswer || now-c.slowestAt > maxAppendAge {
+		c.slowestAnswer, c.slowestAt = current, now
+	}
 }
 
 // postponement identifies a silence of an owner in which this node postponed its claim.
@@ -252,7 +265,7 @@
 func (c *Candidate) ownerFields(owner replica.OwnerHeartbeat) logrus.Fields {
 	now := c.Clock.Now()
 	fields := logrus.Fields{
-		"silent_ms": (now - owner.ReadAt).Milliseconds(), "log_answer_ms": c.Tail.AnswerTime().Milliseconds(),
+		"silent_ms": (now - owner.ReadAt).Milliseconds(), "log_answer_ms": c.Tail.AnswerTime().Milliseconds(), "slowest_answer_ms": c.slowestAnswer.Milliseconds(),
 		"read_age_ms": (now - c.Tail.LastRead()).Milliseconds(), "patience_ms": c.patience().Milliseconds(),
 	}
 	if owner.AskedAt != 0 {
