Leave a slow log to the cell's living owner

What callers saw: while the store was slow, submissions were refused or had an unknown outcome, and the owner's appends did not come through.

Cause: a node that gets no answer from the owner in time appends the record itself. The log executes one append of a partition after the other, in a slow store some ten a second. The nodes' share of the log's time is kept by pauses, but a pause is at most 1 s, so that many nodes together fill the partition's queue of 2 s, and it refuses the owner's append, which holds the records of all. This makes the owner look dead, and more nodes append without it: a load that holds itself up.

Evidence before (the play of a cell of 30 nodes, answers and appends 55 times slower for 4.5 s, 340 KB/s of submissions): "refused by the log: too many appends are queued" for the owner's append of 271 records, claims of epochs 2 and 3, of 375 submissions 147 accepted, 119 refused, 109 of unknown outcome. TestNodesLeaveASlowLogToItsLivingOwner: 1 append beside the owner, expected 0.

While the log takes more than 50 ms for an answer to this node and the owner has written or answered within 3 s, a node refuses the record at once, which certainly was not stored. With a quick log, or without an owner, it appends as before (TestNodesAppendWithoutTheOwnerWhenItIsSilentOrTheLogIsQuick).

--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -93,7 +93,7 @@
 
 // New returns a Service.
 func New(options Options) *Service {
-	return &Service{Options: options, direct: writer{log: options.Log, clock: options.Clock, tail: options.Tail}}
+	return &Service{Options: options, direct: writer{log: options.Log, clock: options.Clock, tail: options.Tail, replica: options.Replica}}
 }
 
 // Call is a caller's call to a route.
--- a/internal/app/intake/writer.go
+++ b/internal/app/intake/writer.go
@@ -29,13 +29,24 @@
 	downAfter = 1500 * time.Millisecond
 )
 
+const (
+	// slowAnswer is the log's answer time from which the appends of all nodes can take so
+	// much of its time that the owner's append waits for them.
+	slowAnswer = 50 * time.Millisecond
+	// maxOwnerSilence is the time since the owner's latest heartbeat or append for which
+	// it counts as alive.
+	maxOwnerSilence = 3 * time.Second
+)
+
 // writer appends callers' records to the cell's log when the owner can't be reached.
-// It makes one append at a time, of all pending records. It is safe for concurrent
-// use.
+// It makes one append at a time, of all pending records. While the log is slow and the
+// cell has a living owner, it makes none: the log takes one append after the other, and
+// the owner's stores the records of all nodes. It is safe for concurrent use.
 type writer struct {
-	log   port.KeyedLog
-	clock port.Clock
-	tail  *logtail.Tail
+	log     port.KeyedLog
+	clock   port.Clock
+	tail    *logtail.Tail
+	replica *replica.Replica
 
 	mu      sync.Mutex
 	pending []*pendingRecord
@@ -52,6 +63,9 @@
 // Refused proves that it never will be. nodes is the number of nodes that may be
 // appending.
 func (w *writer) append(ctx context.Context, nodes int, record port.KeyedRecord) error {
+	if w.tail.AnswerTime() > slowAnswer && w.ownerAlive() {
+		return port.NotStarted.New("the log takes %v for an answer; it is left to the cell's owner", w.tail.AnswerTime())
+	}
 	p := &pendingRecord{record: record, done: make(chan error, 1)}
 	w.mu.Lock()
 	w.pending = append(w.pending, p)
@@ -71,6 +85,13 @@
 	return ctx.Err()
 }
 
+// ownerAlive reports whether the cell has an owner that has not resigned and has appended
+// lately.
+func (w *writer) ownerAlive() bool {
+	owner := w.replica.Owner()
+	return owner.Epoch != 0 && !owner.Resigned && w.clock.Now()-max(owner.ReadAt, owner.AppendedAt) < maxOwnerSilence
+}
+
 // withdraw removes the record if it is still pending. It returns false if an append
 // includes the record.
 func (w *writer) withdraw(p *pendingRecord) bool {
