--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -56,7 +56,10 @@
 	owning    atomic.Bool
 	resigning atomic.Bool
 	epoch     atomic.Uint64 // of the latest session
-	session   atomic.Pointer[ownerSession]
+	// appendedAt is the clock reading at which the log last answered an append of the
+	// latest session, or at which that session began if that is later.
+	appendedAt atomic.Int64
+	session    atomic.Pointer[ownerSession]
 }
 
 // New returns a Dispatcher.
@@ -72,6 +75,12 @@
 // Epoch returns the epoch of the latest session.
 func (d *Dispatcher) Epoch() uint64 { return d.epoch.Load() }
 
+// AppendAge returns the time since the log last answered an append of this node as the
+// owner, or since the latest session began if that is later.
+func (d *Dispatcher) AppendAge() time.Duration {
+	return d.options.Clock.Now() - time.Duration(d.appendedAt.Load())
+}
+
 // Resign ends the current session, and any later one, with its next append.
 func (d *Dispatcher) Resign() { d.resigning.Store(true) }
 
@@ -88,6 +97,7 @@
 		wakeup:  make(chan struct{}, 1),
 		engine:  dispatch.New(d.options.Engine),
 	}
+	d.appendedAt.Store(int64(s.Clock.Now()))
 	d.epoch.Store(epoch)
 	d.owning.Store(true)
 	defer d.owning.Store(false)
@@ -186,6 +196,7 @@
 
 	sequence           uint64        // of the next append
 	lastAppendSent     atomic.Int64  // clock reading at which the latest successful append was sent
+	lastAppendTime     atomic.Int64  // of the call that was answered with success last, in nanoseconds
 	listWasCurrent     bool          // in the last commit round; used by the commit loop only
 	appendFailing      atomic.Bool   // the current append has failed at least once
 	lastHeartbeat      time.Duration // clock reading at the last heartbeat; used by the commit loop only
@@ -212,8 +223,14 @@
 	// takeOverTimeout bounds the time until the replica has read this owner's first
 	// heartbeat.
 	takeOverTimeout = 3 * time.Second
-	appendTimeout   = time.Second // of one call
-	retryPause      = 50 * time.Millisecond
+	// A call to append gets appendTimeFactor times the time of the one before, at least
+	// minAppendTimeout: a call that is repeated while the log still works on it waits
+	// behind itself. maxAppendTimeout is less than the age of the latest append at which
+	// other nodes replace an owner.
+	appendTimeFactor = 4
+	minAppendTimeout = time.Second
+	maxAppendTimeout = 2500 * time.Millisecond
+	retryPause       = 50 * time.Millisecond
 	// heartbeatInterval is the time between two heartbeat records, which show that
 	// the owner can still write.
 	heartbeatInterval = 250 * time.Millisecond
@@ -352,6 +369,13 @@
 	return s.Clock.Now()-time.Duration(s.lastAppendSent.Load()) < d
 }
 
+// mayStart reports whether starts may still be sent. An append confirms this owner only
+// with its answer, so that a slow log has the time of the latest append beyond
+// maxUnconfirmedOrder. A start grants a lease and is never sent later than a renewal.
+func (s *ownerSession) mayStart() bool {
+	return s.confirmedWithin(min(maxUnconfirmedOrder+time.Duration(s.lastAppendTime.Load()), maxUnconfirmedRenewal))
+}
+
 // sleep waits for d. It returns the cause if the context ended meanwhile.
 func sleep(ctx context.Context, d time.Duration) error {
 	pause.Sleep(ctx, d)
