Split the search for workers to ask about into steps

The search is a type of its own now, and the gates before a request a function; behaviour is unchanged and the tests of core/dispatch pass.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -68,37 +68,12 @@
 // workers and could use them. The workers are divided among several requests, which
 // the placement policy serves at the same time for different callers.
 func (e *Engine) requestAdvice(s *step, now time.Duration) {
-	switch {
-	case !e.requiresAdvice(s):
-		e.waits(s, WaitCapacity)
-		return
-	case s.awaitsAdvice(now):
-		e.waits(s, WaitAnswer)
-		return
-	case now < s.adviceRetryAt:
-		e.waits(s, WaitRetry)
-		return
-	}
-	demand := s.spec.Size
-	if s.gang != nil {
-		demand = demand.Scale(int64(len(s.tasks)))
-	}
-	jobTeam := s.occurrence.job.team
-	if !withinLimit(jobTeam, e.reserved[jobTeam].Add(demand)) {
-		e.waits(s, WaitTeamLimit)
-		return
-	}
 	reserved := !s.spec.footprint().Fits(e.unreserved)
-	if reserved && now < s.openSearchAt {
-		e.waits(s, WaitReserved)
+	if reason := e.adviceGate(s, reserved, now); reason != "" {
+		e.waits(s, reason)
 		return
 	}
 	queue := e.queue(s.occurrence.job)
-	if !e.adviceInFlight.admits(queue.AdviceDecision+queue.AdvicePerWorker, e.advisors) {
-		e.waits(s, WaitAdvisor)
-		e.awaitingAdvisor = append(e.awaitingAdvisor, s)
-		return
-	}
 	candidates, visits := e.adviceCandidates(s, reserved, now)
 	e.waits(s, WaitCandidate)
 	if reserved {
@@ -140,6 +115,36 @@
 	}
 }
 
+// adviceGate returns what keeps the step from requesting advice now, "" for nothing.
+// reserved tells that the free capacity is reserved for more urgent steps.
+func (e *Engine) adviceGate(s *step, reserved bool, now time.Duration) WaitReason {
+	switch {
+	case !e.requiresAdvice(s):
+		return WaitCapacity
+	case s.awaitsAdvice(now):
+		return WaitAnswer
+	case now < s.adviceRetryAt:
+		return WaitRetry
+	}
+	demand := s.spec.Size
+	if s.gang != nil {
+		demand = demand.Scale(int64(len(s.tasks)))
+	}
+	jobTeam := s.occurrence.job.team
+	if !withinLimit(jobTeam, e.reserved[jobTeam].Add(demand)) {
+		return WaitTeamLimit
+	}
+	if reserved && now < s.openSearchAt {
+		return WaitReserved
+	}
+	queue := e.queue(s.occurrence.job)
+	if !e.adviceInFlight.admits(queue.AdviceDecision+queue.AdvicePerWorker, e.advisors) {
+		e.awaitingAdvisor = append(e.awaitingAdvisor, s)
+		return WaitAdvisor
+	}
+	return ""
+}
+
 // awaitsAdvice reports whether an answer to an advice request of the step may still
 // arrive in time.
 func (s *step) awaitsAdvice(now time.Duration) bool {
@@ -171,39 +176,18 @@
 // not at all if the free capacity is reserved for more urgent steps. It also returns the
 // number of workers that it has looked at.
 func (e *Engine) adviceCandidates(s *step, reserved bool, now time.Duration) (list []adviceCandidate, visits int) {
-	size := s.spec.footprint()
 	queue := e.queue(s.occurrence.job)
 	rate, known := e.approvalRates[queue.Name]
 	if !known {
 		rate = initialApprovalRate
 	}
-	expected := 0.0 // approved task slots
-	seen := map[*worker]bool{}
-	answered := now + queue.AdviceDecision + adviceBatchSize*queue.AdvicePerWorker
-	candidate := func(w *worker) bool {
-		return !seen[w] && size.Fits(w.free()) && e.eligible(s, w, now) && !e.allowed(s, w, answered) && e.belowWorkerLimit(s, w, 0)
-	}
-	add := func(w *worker, rate float64) {
-		slots := s.adviceSlots(w, w.openCapacity())
-		if slots == 0 || !candidate(w) {
-			return
-		}
-		seen[w] = true
-		expected += float64(slots) * rate
-		list = append(list, adviceCandidate{w, scale(size, float64(slots)*rate)})
-	}
-	enough := func() bool {
-		return len(list) >= maxAdviceWorkers || len(list) >= minAdviceWorkers && expected >= adviceSurplus*float64(s.pending)
+	c := candidateSearch{
+		engine: e, step: s, now: now, seen: map[*worker]bool{},
+		answered: now + queue.AdviceDecision + adviceBatchSize*queue.AdvicePerWorker,
 	}
-	for _, t := range s.tickets {
-		if candidate(t.worker) {
-			add(t.worker, 1) // approved before
-		} else if size.Fits(t.worker.free()) && e.eligible(s, t.worker, now) && e.allowed(s, t.worker, now) {
-			expected += float64(max(0, s.adviceSlots(t.worker, t.worker.free()))) // approved still
-		}
-	}
-	if expected >= float64(s.pending) {
-		return list, 0
+	c.addApproved()
+	if c.expected >= float64(s.pending) {
+		return c.list, 0
 	}
 	maxVisits := maxAdviceVisits
 	if reserved {
@@ -212,30 +196,84 @@
 	untried := func(w *worker) bool {
 		visits++
 		if !s.denied[w.info.ID] {
-			add(w, rate)
+			c.add(w, rate)
 		}
-		return !enough() && visits < maxVisits
+		return !c.enough() && visits < maxVisits
 	}
 	if s.spec.PreferRack != "" {
 		for w := range e.byLabel[s.spec.PreferRack] {
 			untried(w)
 		}
 	}
-	if x := e.openIndexes[queue.Service]; x != nil && !enough() {
-		x.descend(size.MilliCPU, untried)
+	if x := e.openIndexes[queue.Service]; x != nil && !c.enough() {
+		x.descend(s.spec.footprint().MilliCPU, untried)
 	}
-	if x := e.indexes[queue.Service]; x != nil && !reserved && len(list) < minAdviceWorkers {
-		visits = 0
-		x.descend(size.MilliCPU, func(w *worker) bool {
-			visits++
-			if !s.denied[w.info.ID] && candidate(w) {
-				seen[w] = true
-				list = append(list, adviceCandidate{worker: w})
-			}
-			return len(list) < minAdviceWorkers && visits < maxAdviceVisits
-		})
+	if x := e.indexes[queue.Service]; x != nil && !reserved && len(c.list) < minAdviceWorkers {
+		visits = c.addFilled(x)
 	}
-	return list, visits
+	return c.list, visits
+}
+
+// candidateSearch is one search for the workers to ask about.
+type candidateSearch struct {
+	engine   *Engine
+	step     *step
+	now      time.Duration
+	answered time.Duration // expected time of the answers
+	list     []adviceCandidate
+	seen     map[*worker]bool // in the list
+	expected float64          // approved task slots
+}
+
+// usable reports whether the step could run on the worker if it were approved, and will
+// have no ticket for it when the answer arrives.
+func (c *candidateSearch) usable(w *worker) bool {
+	return !c.seen[w] && c.step.spec.footprint().Fits(w.free()) && c.engine.eligible(c.step, w, c.now) &&
+		!c.engine.allowed(c.step, w, c.answered) && c.engine.belowWorkerLimit(c.step, w, 0)
+}
+
+// add adds the worker if it has open capacity. rate is the probability of its approval.
+func (c *candidateSearch) add(w *worker, rate float64) {
+	slots := c.step.adviceSlots(w, w.openCapacity())
+	if slots == 0 || !c.usable(w) {
+		return
+	}
+	c.seen[w] = true
+	c.expected += float64(slots) * rate
+	c.list = append(c.list, adviceCandidate{w, scale(c.step.spec.footprint(), float64(slots)*rate)})
+}
+
+// addApproved adds the workers whose tickets expire, and counts the slots of the others
+// that have one.
+func (c *candidateSearch) addApproved() {
+	s := c.step
+	for _, t := range s.tickets {
+		if c.usable(t.worker) {
+			c.add(t.worker, 1)
+		} else if s.spec.footprint().Fits(t.worker.free()) && c.engine.eligible(s, t.worker, c.now) && c.engine.allowed(s, t.worker, c.now) {
+			c.expected += float64(max(0, s.adviceSlots(t.worker, t.worker.free())))
+		}
+	}
+}
+
+// addFilled adds workers that other requests in flight would fill until there are
+// minAdviceWorkers. It returns the number of workers that it has looked at.
+func (c *candidateSearch) addFilled(x *workerIndex) (visits int) {
+	x.descend(c.step.spec.footprint().MilliCPU, func(w *worker) bool {
+		visits++
+		if !c.step.denied[w.info.ID] && c.usable(w) {
+			c.seen[w] = true
+			c.list = append(c.list, adviceCandidate{worker: w})
+		}
+		return len(c.list) < minAdviceWorkers && visits < maxAdviceVisits
+	})
+	return visits
+}
+
+// enough reports whether the workers in the list are expected to suffice.
+func (c *candidateSearch) enough() bool {
+	return len(c.list) >= maxAdviceWorkers ||
+		len(c.list) >= minAdviceWorkers && c.expected >= adviceSurplus*float64(c.step.pending)
 }
 
 // adviceSlots returns the number of the step's pending tasks that fit into the free
