Refuse a write in time that waits too long for the append before

What callers saw: while the store was slow, many submissions had an unknown outcome though they had never been sent to the store.

Cause: a write that reached the owner during an append waited for it without a bound. Its caller gave up after 1.2 s and knew only that the write might still be stored, which it then was, beside the caller's repeat.

A write that is in no append after 1 s, or whose caller has gone, is taken out and refused: it certainly was not stored. A write that is in an append waits four answers of the log longer, up to the time after which the caller gives up.

The play is now a test (TestOwnerIsNotReplacedWhileTheLogIsSlowForAll).

--- a/internal/app/celltest/slowappend_test.go
+++ b/internal/app/celltest/slowappend_test.go
@@ -1,12 +1,16 @@
 package celltest
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/balsamhitch/balsamhitch/internal/app/intake"
+	"github.com/balsamhitch/balsamhitch/internal/app/replica"
 )
 
 const retryAfter = 200 * time.Millisecond // of a caller whose submission was not accepted
@@ -79,3 +83,35 @@
 		c.close()
 	})
 }
+
+// A caller whose record waits too long behind a slow append learns in time that it was
+// not stored.
+func TestWriteThatWaitsBehindASlowAppendIsRefusedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const appendTime = 1500 * time.Millisecond
+		c := newCell(t, 1, 1, cellWorkers)
+		time.Sleep(3 * time.Second)
+		require.True(t, c.node(0).cellDispatcher.Owning())
+		c.setLog(func(l *memLog) { l.delay, l.appendTime, l.finishesAll = 200*time.Millisecond, appendTime, true })
+		time.Sleep(6 * time.Second)
+		inFlight := func() time.Duration { // the time until the append in flight is executed
+			c.log.mu.Lock()
+			defer c.log.mu.Unlock()
+			return time.Until(c.log.topic(replica.CellTopic).idleAt)
+		}
+		for inFlight() < appendTime-20*time.Millisecond {
+			time.Sleep(10 * time.Millisecond)
+		}
+		id := c.registerJob(0, smallSpec(), 500*time.Millisecond)
+		at := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), submitDeadline)
+		assert.Equal(t, intake.Unavailable, c.node(0).service.Submit(ctx, id, smallSpec()))
+		cancel()
+		assert.Less(t, time.Since(at), 1100*time.Millisecond)
+		c.setSpeed(1)
+		time.Sleep(10 * time.Second)
+		_, outcome := c.node(0).service.State(id)
+		assert.Equal(t, intake.NoJob, outcome, "a refused job must never run")
+		c.close()
+	})
+}
--- a/internal/app/celltest/slowlog_test.go
+++ b/internal/app/celltest/slowlog_test.go
@@ -104,6 +104,36 @@
 	}
 }
 
+// count returns the number of submissions sent in the period, by outcome.
+func (l *steadyLoad) count(from, to time.Time) map[intake.Outcome]int {
+	counts := map[intake.Outcome]int{}
+	for _, s := range l.sent {
+		if !s.at.Before(from) && s.at.Before(to) {
+			counts[s.outcome]++
+		}
+	}
+	return counts
+}
+
+// longestStart returns the longest time until the first start of a job that was
+// accepted and submitted in the period.
+func (l *steadyLoad) longestStart(from, to time.Time) time.Duration {
+	l.cell.fleet.mu.Lock()
+	defer l.cell.fleet.mu.Unlock()
+	longest := time.Duration(0)
+	for i, s := range l.sent {
+		if s.outcome != intake.Done || s.at.Before(from) || !s.at.Before(to) {
+			continue
+		}
+		started := l.cell.fleet.jobs[model.JobID(fmt.Sprintf("%016x", i))].firstStart
+		if started.IsZero() {
+			return time.Hour
+		}
+		longest = max(longest, started.Sub(s.at))
+	}
+	return longest
+}
+
 // newSlowLogCell returns a cell of many nodes with a calm log, which serves a load
 // that the slow log can carry.
 func newSlowLogCell(t *testing.T) (*cell, *steadyLoad) {
@@ -115,6 +145,45 @@
 	return c, &steadyLoad{cell: c, payload: 4000, every: 12 * time.Millisecond}
 }
 
+// A replacement can't write sooner than the owner that it replaces while the log is
+// slow for all, and the change of owner costs the work of seconds.
+func TestOwnerIsNotReplacedWhileTheLogIsSlowForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, load := newSlowLogCell(t)
+		load.run(4 * time.Second)
+		owner := c.ownerIndex()
+		require.GreaterOrEqual(t, owner, 0)
+		epoch := c.node(owner).cellDispatcher.Epoch()
+		slowFrom := time.Now()
+		c.setSpeed(slowFactor)
+		load.run(slowTime)
+		slowTo := time.Now()
+		c.setSpeed(1)
+		load.run(4 * time.Second)
+		load.finish()
+		assert.True(t, c.node(owner).cellDispatcher.Owning(), "the owner before the log was slow")
+		for i := range c.nodes {
+			assert.LessOrEqual(t, c.node(i).cellDispatcher.Epoch(), epoch, "%s has claimed the cell", c.node(i).name)
+		}
+		for from := slowFrom; from.Before(slowTo); from = from.Add(time.Second) {
+			counts := load.count(from, from.Add(time.Second))
+			t.Logf("submissions of the second from %v of the slow log: %v", from.Sub(slowFrom), counts)
+			assert.Greater(t, 2*counts[intake.Done], counts[intake.Done]+counts[intake.Unavailable]+counts[intake.Unknown], "accepted from %v", from.Sub(slowFrom))
+		}
+		during := load.count(slowFrom, slowTo)
+		assert.Zero(t, during[intake.Unknown], "submissions of unknown outcome")
+		end := time.Now()
+		after := load.count(slowTo.Add(time.Second), end)
+		assert.Zero(t, after[intake.Unavailable]+after[intake.Unknown], "submissions not accepted from 1 s after")
+		time.Sleep(5 * time.Second)
+		t.Logf("while the log was slow: %v, longest time to a start %v", during, load.longestStart(slowFrom, slowTo))
+		assert.Less(t, load.longestStart(slowTo.Add(time.Second), end), time.Second, "start of a job submitted from 1 s after")
+		time.Sleep(20 * time.Second)
+		c.check()
+		c.close()
+	})
+}
+
 // queueAppends makes each append to the cell's topic wait for others, for the given length
 // of time.
 func (c *cell) queueAppends(wait, length time.Duration) {
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,6 +138,21 @@
 		return notOwner()
 	}
 	s.wake()
+	timer := time.NewTimer(maxPendingTime)
+	defer timer.Stop()
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		if s.withdraw(w) {
+			return port.NotStarted.Wrap(ctx.Err())
+		}
+		return Error.Wrap(ctx.Err())
+	case <-timer.C:
+		if s.withdraw(w) {
+			return port.NotStarted.New("the append before took longer than %v", maxPendingTime)
+		}
+	}
 	select {
 	case err := <-w.done:
 		return err
@@ -176,6 +192,18 @@
 	return pending
 }
 
+// withdraw removes a pending write. It returns false if a batch includes the write.
+func (s *ownerSession) withdraw(w *write) bool {
+	s.pendingMu.Lock()
+	defer s.pendingMu.Unlock()
+	i := slices.Index(s.pending, w)
+	if i < 0 {
+		return false
+	}
+	s.pending = slices.Delete(s.pending, i, i+1)
+	return true
+}
+
 // rejectPending fails the writes that are not in a batch yet, and all later ones.
 func (s *ownerSession) rejectPending() {
 	s.pendingMu.Lock()
@@ -234,6 +262,9 @@
 	minAppendTimeout = time.Second
 	maxAppendTimeout = 2500 * time.Millisecond
 	retryPause       = 50 * time.Millisecond
+	// maxPendingTime is how long a caller's write waits for the append in flight, so that
+	// the caller learns in time that it was not stored.
+	maxPendingTime = time.Second
 	// heartbeatInterval is the time between two heartbeat records, which show that
 	// the owner can still write.
 	heartbeatInterval = 250 * time.Millisecond
--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -42,9 +42,11 @@
 }
 
 const (
-	// forwardTimeout bounds a write through the owner. It is the time of a few batches
-	// on a slow log.
+	// forwardTimeout bounds a write through the owner, which waits for the append in
+	// flight and the next one. On a slow log it is longer by forwardAnswers answers, up to
+	// giveUpAfter.
 	forwardTimeout = 1200 * time.Millisecond
+	forwardAnswers = 4
 	// ownerWait is how long a record waits for an owner before it is appended
 	// directly. The wait delays no task, since none starts without an owner. A
 	// takeover takes less time unless the log fails.
@@ -220,7 +222,7 @@
 // durable.
 func (s *Service) forward(ctx context.Context, record port.KeyedRecord, start time.Duration) (unknown bool, err error) {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, min(forwardTimeout+forwardAnswers*s.Tail.AnswerTime(), giveUpAfter))
 		err = s.Forward(callCtx, record)
 		cancel()
 		if err == nil {
