Take a handed over cell during the delay of a claim

A cell that was handed over to a node stayed without an owner while that node waited for its own claim: up to 350 ms, and 200 to 400 ms more on a small VM.

Cause: the delay before a claim, and the pause after a claim that failed, were plain sleeps, and a handover was looked at only after them; the failed claim is the handover's own.

Evidence: TestHandoverIsTakenDuringTheDelayOfAClaim (delay 3 s) failed before with no owner after 100 ms. Both waits now end with the handover.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -55,9 +55,10 @@
 	jobs   []model.JobID
 	deadly map[int]bool // numbers of jobs whose first task is deadly
 	pool   *ants.Pool
+	claimDelay atomic.Int64 // of all nodes, in nanoseconds
 	// askOwner answers a node that asks the owner whether it has stopped; nil if no
 	// owner answers.
-	askOwner atomic.Pointer[func(asking *cellNode, owner replica.OwnerHeartbeat) bool]
+	askOwner   atomic.Pointer[func(asking *cellNode, owner replica.OwnerHeartbeat) bool]
 	// shortReads bounds the wait of reads as balsam-node does while a heartbeat is overdue.
 	shortReads atomic.Bool
 }
@@ -131,7 +132,7 @@
 	})
 	n.candidate = &election.Candidate{
 		Node: name, Log: n.log, Clock: c.clock, Replica: n.replica, Tail: tail, Owner: n.cellDispatcher, Logger: logger,
-		Stopping: n.stopping.Load, ClaimDelay: func() time.Duration { return 0 },
+		Stopping: n.stopping.Load, ClaimDelay: func() time.Duration { return time.Duration(c.claimDelay.Load()) },
 		Peers: &cellPeers{c, n}, Handovers: make(chan uint64, 1),
 		OwnerStopped: func(_ context.Context, owner replica.OwnerHeartbeat) bool {
 			ask := c.askOwner.Load()
--- a/internal/app/election/election.go
+++ b/internal/app/election/election.go
@@ -15,7 +15,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
-	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
 	"github.com/balsamhitch/balsamhitch/internal/pb/logpb"
 	"github.com/balsamhitch/balsamhitch/internal/port"
@@ -115,29 +114,39 @@
 		} else {
 			missing = c.ownerStopped(ctx, owner)
 		}
-		epoch, handedOver := c.pendingHandover()
-		if !handedOver && (!missing || c.Stopping()) {
-			if epoch, handedOver = c.awaitHandover(ctx); !handedOver {
-				continue
-			}
+		epoch, owns := c.pendingHandover()
+		switch {
+		case owns:
+		case missing && !c.Stopping():
+			epoch, owns = c.replace(ctx, owner)
+		default:
+			epoch, owns = c.awaitHandover(ctx, checkInterval)
 		}
-		if !handedOver {
-			pause.Sleep(ctx, c.ClaimDelay()+rand.N(claimJitter))
-			if c.recovered(owner) || c.Stopping() || ctx.Err() != nil {
-				continue
-			}
-			var err error
-			if epoch, err = c.claim(ctx, owner.Epoch); err != nil {
-				c.Logger.WithError(err).Info("claiming the cell failed; checking the owner again")
-				pause.Sleep(ctx, checkInterval+rand.N(claimJitter))
-				continue
-			}
+		if !owns {
+			continue
 		}
 		c.serve(ctx, epoch)
 		started = c.Clock.Now()
 	}
 }
 
+// replace claims the cell in place of the owner, and returns the epoch of the claim, or
+// that of one that another node makes for this one meanwhile.
+func (c *Candidate) replace(ctx context.Context, owner replica.OwnerHeartbeat) (epoch uint64, claimed bool) {
+	if epoch, handedOver := c.awaitHandover(ctx, c.ClaimDelay()+rand.N(claimJitter)); handedOver {
+		return epoch, true
+	}
+	if c.recovered(owner) || c.Stopping() || ctx.Err() != nil {
+		return 0, false
+	}
+	epoch, err := c.claim(ctx, owner.Epoch)
+	if err != nil {
+		c.Logger.WithError(err).Info("claiming the cell failed; checking the owner again")
+		return c.awaitHandover(ctx, checkInterval+rand.N(claimJitter))
+	}
+	return epoch, true
+}
+
 // serve announces this node as the owner and serves until Owner.Serve returns.
 func (c *Candidate) serve(ctx context.Context, epoch uint64) {
 	previous := c.Replica.Owner()
--- a/internal/app/election/handover.go
+++ b/internal/app/election/handover.go
@@ -129,9 +129,9 @@
 	}
 }
 
-// awaitHandover is pendingHandover with a wait of up to checkInterval.
-func (c *Candidate) awaitHandover(ctx context.Context) (uint64, bool) {
-	timer := time.NewTimer(checkInterval)
+// awaitHandover is pendingHandover with a wait of up to the given time.
+func (c *Candidate) awaitHandover(ctx context.Context, wait time.Duration) (uint64, bool) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case epoch := <-c.Handovers:
