--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -45,20 +45,20 @@
 }
 
 type cell struct {
-	t      *testing.T
-	rng    *rand.Rand
-	log    *memLog
-	fleet  *fleet
-	policy *policy.Current
-	clock  *porttest.Clock
-	nodes  []atomic.Pointer[cellNode] // a restart replaces a node while callers use the others
-	jobs   []model.JobID
-	deadly map[int]bool // numbers of jobs whose first task is deadly
-	pool   *ants.Pool
+	t          *testing.T
+	rng        *rand.Rand
+	log        *memLog
+	fleet      *fleet
+	policy     *policy.Current
+	clock      *porttest.Clock
+	nodes      []atomic.Pointer[cellNode] // a restart replaces a node while callers use the others
+	jobs       []model.JobID
+	deadly     map[int]bool // numbers of jobs whose first task is deadly
+	pool       *ants.Pool
 	claimDelay atomic.Int64 // of all nodes, in nanoseconds
 	// askOwner answers a node that asks the owner whether it has stopped; nil if no
 	// owner answers.
-	askOwner   atomic.Pointer[func(asking *cellNode, owner replica.OwnerHeartbeat) bool]
+	askOwner atomic.Pointer[func(asking *cellNode, owner replica.OwnerHeartbeat) bool]
 	// shortReads bounds the wait of reads as balsam-node does while a heartbeat is overdue.
 	shortReads atomic.Bool
 }
