Look for workers to ask about beyond those that can't be used

Workers without the step's label and those that the policy has rejected count as looked at, and so do workers without memory.

Evidence: TestStepFindsUsableWorkersBehindManyOthers (1,100 workers) failed before: 0 workers asked about in two seconds behind 900 without the label or without memory, 900 of 1,100 when all were rejected. Workers that the policy can't approve don't count now, and a search that ends at its bound without a worker is continued by the next one where it ended.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -193,11 +193,17 @@
 	if reserved {
 		maxVisits = maxOpenVisits
 	}
+	passed := 0
 	untried := func(w *worker) bool {
-		visits++
-		if !s.denied[w.info.ID] {
-			c.add(w, rate)
+		if !c.askable(w) {
+			return true
+		}
+		if passed < s.searchFrom {
+			passed++
+			return true
 		}
+		visits++
+		c.add(w, rate)
 		return !c.enough() && visits < maxVisits
 	}
 	if s.spec.PreferRack != "" {
@@ -208,6 +214,11 @@
 	if x := e.openIndexes[queue.Service]; x != nil && !c.enough() {
 		x.descend(s.spec.footprint().MilliCPU, untried)
 	}
+	if len(c.list) == 0 && visits == maxVisits {
+		s.searchFrom += maxVisits
+	} else {
+		s.searchFrom = 0
+	}
 	if x := e.indexes[queue.Service]; x != nil && !reserved && len(c.list) < minAdviceWorkers {
 		visits = c.addFilled(x)
 	}
@@ -225,6 +236,12 @@
 	expected float64          // approved task slots
 }
 
+// askable reports whether the placement policy may approve the worker. Others don't count
+// as looked at: there can be any number of them before the first that may.
+func (c *candidateSearch) askable(w *worker) bool {
+	return !c.step.denied[w.info.ID] && c.engine.eligible(c.step, w, c.now)
+}
+
 // usable reports whether the step could run on the worker if it were approved, and will
 // have no ticket for it when the answer arrives.
 func (c *candidateSearch) usable(w *worker) bool {
@@ -260,8 +277,11 @@
 // minAdviceWorkers. It returns the number of workers that it has looked at.
 func (c *candidateSearch) addFilled(x *workerIndex) (visits int) {
 	x.descend(c.step.spec.footprint().MilliCPU, func(w *worker) bool {
+		if !c.askable(w) {
+			return true
+		}
 		visits++
-		if !c.step.denied[w.info.ID] && c.usable(w) {
+		if c.usable(w) {
 			c.seen[w] = true
 			c.list = append(c.list, adviceCandidate{worker: w})
 		}
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -62,6 +62,7 @@
 	adviceRetryAt   time.Duration
 	openSearchAt    time.Duration // when to look again for workers with open capacity
 	openSearchPause time.Duration // since the last time that there were none
+	searchFrom      int           // workers that the next search passes over, since those before found no use for them
 	reservedPass    int           // last full pass since which capacity is reserved for it
 	wait            wait
 	blockedVersion  uint64 // Engine.version at the last unsuccessful attempt to place it; zero for none
