Ask about others while a gang has reserved an approved worker

Evidence: TestTicketForWorkerReservedForGangDoesNotStopOtherRequests failed before with no candidate among 99 idle workers. Such tickets are not counted now.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -267,7 +267,8 @@
 	for _, t := range s.tickets {
 		if c.usable(t.worker) {
 			c.add(t.worker, 1)
-		} else if s.spec.footprint().Fits(t.worker.free()) && c.engine.eligible(s, t.worker, c.now) && c.engine.allowed(s, t.worker, c.now) {
+		} else if s.spec.footprint().Fits(t.worker.free()) && c.engine.eligible(s, t.worker, c.now) && c.engine.allowed(s, t.worker, c.now) &&
+			!c.engine.reservedForOther(s, t.worker) {
 			c.expected += float64(max(0, s.adviceSlots(t.worker, t.worker.free())))
 		}
 	}
--- a/internal/core/dispatch/many_workers_test.go
+++ b/internal/core/dispatch/many_workers_test.go
@@ -67,3 +67,21 @@
 		})
 	}
 }
+
+func TestTicketForWorkerReservedForGangDoesNotStopOtherRequests(t *testing.T) {
+	e := New(testSettings)
+	e.SetPolicy([]Queue{batchQueue}, []Team{{Name: "t"}}, nil)
+	e.SetAdvisorCount(9)
+	workers := manyWorkers("w", 100, model.Resources{MilliCPU: 32000, MemoryMiB: 64000})
+	e.UpdateWorkers(workers)
+	for _, info := range workers {
+		e.ApplyReport(info.ID, WorkerReport{Incarnation: 1, Clock: time.Second}, time.Second)
+	}
+	require.True(t, e.AddJob("j", JobSpec{Team: "t", Queue: batchQueue, Payload: "p", Steps: []StepSpec{wideStep(1, 4000)}, Submitted: testStart}, testStart))
+	s := e.jobs["j"].occurrences[0].steps[0]
+	held := e.workers["w0000"]
+	s.tickets[held.info.ID] = ticket{worker: held, incarnation: 1, expires: time.Minute}
+	held.reservedPass, held.reservedFor = e.pass, &step{}
+	candidates, _ := e.adviceCandidates(s, false, time.Second)
+	assert.NotEmpty(t, candidates)
+}
