Measure how slow the log is in a busy cell too

Cause: only a read that waits in vain, or longer than its wait, says how long an answer takes.

Evidence: TestAnswerTimeOfABusyTopicIsMeasured failed before with 0 s for each of 50, 250, 500 and 590 ms. In a busy topic one read in half a second now waits for no record.

--- a/internal/app/logtail/logtail.go
+++ b/internal/app/logtail/logtail.go
@@ -32,6 +32,10 @@
 	// log gets twice the time of its recent answers, up to maxReadMargin.
 	minReadMargin = 500 * time.Millisecond
 	maxReadMargin = time.Second
+	// A topic is busy if a read returned busyRecords. Its reads rarely wait in vain, so one
+	// in each measureInterval waits for no record and gives the answer time.
+	busyRecords     = 8
+	measureInterval = 500 * time.Millisecond
 	// pageTimeout bounds the read of one page of the newest records, up to 1 MB.
 	pageTimeout = 2 * time.Second
 	retryPause  = 50 * time.Millisecond
@@ -54,6 +58,8 @@
 	recoveredAt atomic.Int64  // clock reading at which reads last succeeded again
 	lastRead    atomic.Int64  // clock reading at which the last read that reached the topic's end was sent
 	answerTime  atomic.Int64  // estimate, in nanoseconds
+	measuredAt  time.Duration // clock reading at which a read last gave the answer time; used by Run only
+	busy        bool          // used by Run only
 	offset      atomic.Uint64 // of the next record to read
 }
 
@@ -72,8 +78,9 @@
 
 // observeRead updates the estimate of the answer time after a read that took the given
 // time and was allowed to wait for a record. A read that waited in vain gives the answer
-// time. Of other reads, the answer took all of the time at most, and what exceeds the
-// wait at least; the estimate changes by the least that agrees with this.
+// time, and so does one that was not to wait. Of other reads, the answer took all of the
+// time at most, and what exceeds the wait at least; the estimate changes by the least that
+// agrees with this.
 func (t *Tail) observeRead(took, wait time.Duration, batch port.KeyedBatch, err error) {
 	estimate := max(t.AnswerTime(), took-wait)
 	switch {
@@ -172,6 +179,9 @@
 	if t.MaxWait != nil {
 		wait = min(wait, t.MaxWait())
 	}
+	if t.busy && t.Clock.Now()-t.measuredAt > measureInterval {
+		wait = 0
+	}
 	margin := min(max(minReadMargin, 2*t.AnswerTime()), maxReadMargin)
 	callCtx, cancel := context.WithTimeout(ctx, wait+margin)
 	sent := t.Clock.Now()
@@ -181,6 +191,10 @@
 	if err != nil {
 		return false, err
 	}
+	if wait == 0 || len(batch.Records) == 0 {
+		t.measuredAt = t.Clock.Now()
+	}
+	t.busy = len(batch.Records) >= busyRecords
 	if len(batch.Records) == 0 {
 		return true, nil
 	}
--- a/internal/app/logtail/slowlog_test.go
+++ b/internal/app/logtail/slowlog_test.go
@@ -38,7 +38,11 @@
 
 func (l *slowLog) Read(ctx context.Context, _ string, from uint64, wait time.Duration) (port.KeyedBatch, error) {
 	if l.records.Load() {
-		return port.KeyedBatch{End: from + 1, Records: []port.KeyedRecord{{Offset: from, Key: "k"}}}, l.pause(ctx, 0)
+		batch := port.KeyedBatch{End: from + 20}
+		for offset := from; offset < batch.End; offset++ {
+			batch.Records = append(batch.Records, port.KeyedRecord{Offset: offset, Key: "k"})
+		}
+		return batch, l.pause(ctx, 0)
 	}
 	return port.KeyedBatch{End: from}, l.pause(ctx, wait)
 }
@@ -96,3 +100,18 @@
 		})
 	}
 }
+
+func TestAnswerTimeOfABusyTopicIsMeasured(t *testing.T) {
+	for _, answer := range []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, 590 * time.Millisecond} {
+		log := &slowLog{}
+		log.records.Store(true)
+		log.answerTime.Store(int64(4 * time.Millisecond))
+		follow(t, log, func(tail *Tail, _ port.Clock) {
+			time.Sleep(3 * time.Second)
+			assert.Equal(t, 4*time.Millisecond, tail.AnswerTime())
+			log.answerTime.Store(int64(answer))
+			time.Sleep(3 * time.Second)
+			assert.Equal(t, answer, tail.AnswerTime())
+		})
+	}
+}
