--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -24,6 +24,7 @@
 	t.confirmedAt, t.adopted, t.percent = 0, false, 0
 	t.orderedPace = fullPace
 	t.workedFrom, t.workedUntil, t.pendingSince = 0, 0, 0
+	e.load.assigned(t)
 	w.used = w.used.Add(t.step.spec.footprint())
 	w.tasks[t.name()] = t
 	if t.step.placedOn != nil {
@@ -44,6 +45,7 @@
 		return
 	}
 	e.endSeparation(t)
+	e.load.released(t)
 	t.worker = nil
 	w.used = w.used.Sub(t.step.spec.footprint())
 	delete(w.tasks, t.name())
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -63,6 +63,8 @@
 	reservedPass   int           // last full pass since which capacity is reserved for it
 	waitLoggedAt   time.Duration // when the reason for waiting was last logged
 	blockedVersion uint64        // Engine.version at the last unsuccessful attempt to place it; zero for none
+	waitSeen       int           // number of the last backlog that found it waiting
+	waitSince      time.Duration // time of the first of those in a row
 }
 
 // ticket is the placement policy's approval for a worker to run the step.
@@ -236,6 +238,7 @@
 	version               uint64             // incremented by changes that may unblock a step
 	policyVersion         uint64             // incremented by SetPolicy
 
+	load           loadMeter
 	batch          Batch
 	stopOrders     []StopOrder
 	paceOrders     []PaceOrder
