--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -34,11 +35,12 @@
 	NoJob                // job does not exist
 	Invalid              // the call can't be decoded or encoded
 	JobNeverFits         // a task fits no known kind of worker, or a task or gang exceeds the team's limit
+	Overloaded           // had no effect and never will, since the job could not be served in time; can be retried later
 )
 
 // String returns the outcome's name in metrics.
 func (o Outcome) String() string {
-	return [...]string{"accepted", "unavailable", "unknown", "no_key", "no_route", "no_job", "invalid", "impossible"}[o]
+	return [...]string{"accepted", "unavailable", "unknown", "no_key", "no_route", "no_job", "invalid", "impossible", "overloaded"}[o]
 }
 
 const (
@@ -127,27 +129,33 @@
 	return route, team, Done
 }
 
-// Submit makes the job durable. It returns Done without a write if the job is already
-// known.
+// Submit is SubmitJob without the delay.
 func (s *Service) Submit(ctx context.Context, id model.JobID, spec dispatch.JobSpec) Outcome {
+	outcome, _ := s.SubmitJob(ctx, id, spec)
+	return outcome
+}
+
+// SubmitJob makes the job durable. It returns Done without a write if the job is
+// already known. With Overloaded it returns the time after which there should be room.
+func (s *Service) SubmitJob(ctx context.Context, id model.JobID, spec dispatch.JobSpec) (outcome Outcome, retryAfter time.Duration) {
 	if _, known := s.Replica.State(id); known {
-		return Done
+		return Done, 0
 	}
 	spec.Submitted = s.Clock.Wall()
 	record, err := replica.SubmissionRecord(id, spec)
 	if err != nil {
 		s.Logger.WithError(err).WithField("job", id).Warn("encoding the submission failed; refusing it")
-		return Invalid
+		return Invalid, 0
 	}
 	start := s.Clock.Now()
-	outcome := s.write(ctx, id, record, func() bool {
+	outcome, retryAfter = s.write(ctx, id, record, func() bool {
 		_, known := s.Replica.State(id)
 		return known
 	})
 	s.logOutcome("submission", id, outcome, spec.Team, start)
 	metrics.GetOrCreateHistogram(fmt.Sprintf("balsam_submission_seconds{team=%q,outcome=%q}", spec.Team, outcome)).
 		Update((s.Clock.Now() - start).Seconds())
-	return outcome
+	return outcome, retryAfter
 }
 
 // Cancel makes the job's cancellation durable. The owner ignores it for a job that it
@@ -162,7 +170,7 @@
 		return Invalid
 	}
 	start := s.Clock.Now()
-	outcome := s.write(ctx, id, record, func() bool {
+	outcome, _ := s.write(ctx, id, record, func() bool {
 		state, known := s.Replica.State(id)
 		return known && state.Ended()
 	})
@@ -171,19 +179,21 @@
 }
 
 // write makes the record durable, or refuses it while the service refuses writes.
-func (s *Service) write(ctx context.Context, id model.JobID, record port.KeyedRecord, durable func() bool) Outcome {
+func (s *Service) write(ctx context.Context, id model.JobID, record port.KeyedRecord, durable func() bool) (Outcome, time.Duration) {
 	if s.refusing.Load() {
-		return Unavailable
+		return Unavailable, 0
 	}
 	return s.append(ctx, id, record, durable)
 }
 
 // append makes the record durable. Each attempt sends it to the owner, waiting for one
 // if there is none, and appends it to the log directly if that fails. Attempts are
-// repeated until one succeeds or the time is up. A delayed effect of an earlier attempt
+// repeated until one succeeds or the time is up. If the owner refuses the job as one
+// that it could not serve in time, it is not appended directly, and the call is refused
+// at once unless an earlier attempt may have had an effect. A delayed effect of an earlier attempt
 // does no harm, since the record is the same each time. durable reports whether the
 // replica shows that the record has taken effect.
-func (s *Service) append(ctx context.Context, id model.JobID, record port.KeyedRecord, durable func() bool) Outcome {
+func (s *Service) append(ctx context.Context, id model.JobID, record port.KeyedRecord, durable func() bool) (Outcome, time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, LongestWrite)
 	defer cancel()
 	start := s.Clock.Now()
@@ -193,14 +203,19 @@
 		unknown = unknown || forwardUnknown
 		if port.NeverFits.Has(err) && !unknown {
 			s.Logger.WithError(err).WithField("job", id).Info("job fits no known kind of worker or exceeds its team's limit; refusing it")
-			return JobNeverFits
+			return JobNeverFits, 0
+		}
+		var overloaded *port.OverloadedError
+		refused := errors.As(err, &overloaded)
+		if refused && !unknown {
+			return Overloaded, overloaded.RetryAfter
 		}
-		if err != nil {
+		if err != nil && !refused {
 			err = s.direct.append(ctx, s.Replica.NodeCount(), record)
 			unknown = unknown || err != nil && !port.Refused.Has(err) && !port.NotStarted.Has(err)
 		}
 		if err == nil || durable() {
-			return Done
+			return Done, 0
 		}
 		elapsed := s.Clock.Now() - start
 		if ctx.Err() != nil || elapsed > giveUpAfter || !unknown && elapsed > refuseAfter {
@@ -210,9 +225,9 @@
 		pause.Sleep(ctx, retryPause)
 	}
 	if unknown {
-		return Unknown
+		return Unknown, 0
 	}
-	return Unavailable
+	return Unavailable, 0
 }
 
 // forward sends the record to the owner, or to the next one within ownerWait of
@@ -242,6 +257,8 @@
 		s.Logger.WithFields(fields).Info(what + " accepted")
 	case Unknown:
 		s.Logger.WithFields(fields).Warn(what + " has an unknown outcome; the caller must retry it with the same id")
+	case Overloaded:
+		s.Logger.WithFields(fields).Info(what + " refused, since the job could not be served in time; the caller can retry later")
 	case JobNeverFits:
 		s.Logger.WithFields(fields).Warn(what + " refused, since the job does not fit any known kind of worker or its team's limit; the caller can change it or retry later")
 	default:
--- a/internal/app/node/peers.go
+++ b/internal/app/node/peers.go
@@ -37,19 +37,7 @@
 	if err != nil {
 		return err
 	}
-	refusal := reply.GetAck().GetRefusal()
-	switch refusal.GetReason() {
-	case peerpb.Refusal_NOT_OWNER:
-		return port.NotStarted.Wrap(port.NoOwner.New("%s", refusal.GetDetail()))
-	case peerpb.Refusal_NEVER_FITS:
-		return port.NotStarted.Wrap(port.NeverFits.New("%s", refusal.GetDetail()))
-	case peerpb.Refusal_LOG_UNAVAILABLE:
-		return port.NotStarted.New("%s", refusal.GetDetail())
-	}
-	if refusal != nil {
-		return errs.New("%s", refusal.GetDetail())
-	}
-	return nil
+	return refusalError(reply.GetAck().GetRefusal())
 }
 
 // call sends a request to the named node. An error of class NotStarted proves that the
@@ -68,18 +56,45 @@
 	for _, record := range message.GetRecords() {
 		records = append(records, port.KeyedRecord{Key: record.GetKey(), Value: record.GetValue()})
 	}
-	err := n.owner.Append(ctx, records)
+	return &peerpb.Ack{Refusal: refusalFor(n.owner.Append(ctx, records))}
+}
+
+// refusalFor returns the refusal that carries an error of Dispatcher.Append to another
+// node, nil for none. refusalError is its inverse.
+func refusalFor(err error) *peerpb.Refusal {
+	var overloaded *port.OverloadedError
 	switch {
 	case err == nil:
-		return &peerpb.Ack{}
+		return nil
 	case port.NeverFits.Has(err):
-		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_NEVER_FITS, Detail: err.Error()}}
+		return &peerpb.Refusal{Reason: peerpb.Refusal_NEVER_FITS, Detail: err.Error()}
+	case errors.As(err, &overloaded):
+		return &peerpb.Refusal{Reason: peerpb.Refusal_QUEUE_FULL, Detail: err.Error(), RetryAfterMs: overloaded.RetryAfter.Milliseconds()}
 	case port.NotStarted.Has(err) && !port.NoOwner.Has(err):
-		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_LOG_UNAVAILABLE, Detail: err.Error()}}
+		return &peerpb.Refusal{Reason: peerpb.Refusal_LOG_UNAVAILABLE, Detail: err.Error()}
 	case port.NotStarted.Has(err):
-		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_NOT_OWNER, Detail: err.Error()}}
+		return &peerpb.Refusal{Reason: peerpb.Refusal_NOT_OWNER, Detail: err.Error()}
 	default:
-		return &peerpb.Ack{Refusal: &peerpb.Refusal{Reason: peerpb.Refusal_UNAVAILABLE, Detail: err.Error()}}
+		return &peerpb.Refusal{Reason: peerpb.Refusal_UNAVAILABLE, Detail: err.Error()}
+	}
+}
+
+// refusalError returns the error that the owner's refusal carries, nil for none.
+func refusalError(refusal *peerpb.Refusal) error {
+	if refusal == nil {
+		return nil
+	}
+	switch refusal.GetReason() {
+	case peerpb.Refusal_NOT_OWNER:
+		return port.NotStarted.Wrap(port.NoOwner.New("%s", refusal.GetDetail()))
+	case peerpb.Refusal_NEVER_FITS:
+		return port.NotStarted.Wrap(port.NeverFits.New("%s", refusal.GetDetail()))
+	case peerpb.Refusal_QUEUE_FULL:
+		return port.NotStarted.Wrap(&port.OverloadedError{RetryAfter: time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond})
+	case peerpb.Refusal_LOG_UNAVAILABLE:
+		return port.NotStarted.New("%s", refusal.GetDetail())
+	default:
+		return errs.New("%s", refusal.GetDetail())
 	}
 }
 
--- a/internal/port/celllog.go
+++ b/internal/port/celllog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -33,6 +34,17 @@
 	KeyedLogTruncated = errs.Class("log is truncated")
 )
 
+// OverloadedError is returned, together with NotStarted, by the cell's owner for a job
+// that could not be served in time.
+type OverloadedError struct {
+	RetryAfter time.Duration // time after which there should be room
+}
+
+// Error implements error.
+func (e *OverloadedError) Error() string {
+	return fmt.Sprintf("the job could not be served in time; room is expected in %v", e.RetryAfter)
+}
+
 // KeyedRecord is a record of a keyed log. A nil Value deletes the key.
 type KeyedRecord struct {
 	Offset uint64
