Refuse at the owner what can't be served in time

The owner now asks it for each new job before the job joins the next append, so a refused job is on no record and never runs. Jobs read from the log, known ids, and jobs that last or have times are never refused.

All jobs are checked as before.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -245,17 +245,24 @@
 	time.Sleep(20 * time.Second) // until late orders have been executed and leases have expired
 }
 
-// submit submits a job like a caller that retries at random nodes, at most 20 times.
+// submit submits a job like a caller that retries at random nodes, at most 20 times
+// besides the refusals of an overloaded cell.
 // Only accepted jobs are added to c.jobs and checked.
 func (c *cell) submit(number int, spec dispatch.JobSpec, runTime time.Duration) {
 	spec.Queue = cellQueue
 	spec.Payload = "p"
 	id := c.registerJob(number, spec, runTime)
-	for range 20 {
-		if c.submitAt(c.rng.IntN(len(c.nodes)), id, spec) {
+	for failures := 0; failures < 20; {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		outcome := c.node(c.rng.IntN(len(c.nodes))).service.Submit(ctx, id, spec)
+		cancel()
+		if outcome == intake.Done {
 			c.jobs = append(c.jobs, id)
 			return
 		}
+		if outcome != intake.Overloaded { // an overloaded cell has room later
+			failures++
+		}
 		time.Sleep(200 * time.Millisecond)
 	}
 }
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -69,7 +69,8 @@
 	current := s.listIsCurrent()
 	s.logListAge(current)
 	s.mu.Lock()
-	writes := s.admitJobs(s.takePending())
+	s.observeBacklog(now)
+	writes := s.admitJobs(s.takePending(), now)
 	if current {
 		s.engine.Schedule(now, s.Clock.Wall())
 	}
@@ -140,8 +141,9 @@
 // admitJobs adds the jobs that the next append stores to the engine, so that the
 // same append can hold their placements. This is safe because orders are sent
 // only after the append, and the session ends if the append fails. It rejects
-// the jobs that never fit and returns the other writes. The caller holds mu.
-func (s *ownerSession) admitJobs(writes []*write) []*write {
+// the jobs that never fit or could not be served in time and returns the other writes.
+// The caller holds mu.
+func (s *ownerSession) admitJobs(writes []*write, now time.Duration) []*write {
 	wall := s.Clock.Wall()
 	return slices.DeleteFunc(writes, func(write *write) bool {
 		for _, record := range write.records {
@@ -157,6 +159,10 @@
 				write.done <- port.NotStarted.Wrap(port.NeverFits.New("%s", reason))
 				return true
 			}
+			if err := s.admit(id, &spec, now); err != nil {
+				write.done <- port.NotStarted.Wrap(err)
+				return true
+			}
 			s.addJob(id, spec, wall)
 		}
 		return false
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/balsamhitch/balsamhitch/internal/app/logtail"
 	"github.com/balsamhitch/balsamhitch/internal/app/pause"
 	"github.com/balsamhitch/balsamhitch/internal/app/replica"
+	"github.com/balsamhitch/balsamhitch/internal/core/admission"
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/core/policy"
@@ -196,6 +197,9 @@
 	mu     sync.Mutex // guards the engine
 	engine *dispatch.Engine
 
+	admission    admission.Controller // used by the commit loop only
+	lastObserved time.Duration        // clock reading at the last snapshot for it; used by the commit loop only
+
 	workersMu    sync.Mutex
 	workers      map[model.VMID]*workerState
 	firstReports atomic.Int64 // workers that have reported to this session
