--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -64,7 +64,9 @@
 	openSearchPause time.Duration // since the last time that there were none
 	reservedPass    int           // last full pass since which capacity is reserved for it
 	wait            wait
-	blockedVersion  uint64 // Engine.version at the last unsuccessful attempt to place it; zero for none
+	blockedVersion  uint64        // Engine.version at the last unsuccessful attempt to place it; zero for none
+	waitSeen        int           // number of the last backlog that found it waiting
+	waitSince       time.Duration // time of the first of those in a row
 }
 
 // ticket is the placement policy's approval for a worker to run the step.
@@ -246,6 +248,7 @@
 	version               uint64             // incremented by changes that may unblock a step
 	policyVersion         uint64             // incremented by SetPolicy
 
+	load           loadMeter
 	batch          Batch
 	stopOrders     []StopOrder
 	paceOrders     []PaceOrder
