Count free room and the policy's time in the admission decision

Cause: every step of the site waits for the placement policy for more than the 300 ms from which a queue stands, so that one always stood there, and the measured rate was that of the arrivals. And what waits was divided by a rate although it fits into free room.

Steps with a request for advice in flight no longer make a queue stand, and what fits into the free capacity waits for no running task.

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -115,6 +115,7 @@
 type Backlog struct {
 	Taken    time.Duration // clock reading
 	Capacity float64       // CPU of the workers for tasks that end, in thousandths of a processor
+	Free     float64       // CPU of it that is not in use, in thousandths of a processor
 	Placed   Demand        // all tasks placed since an arbitrary start
 	Groups   []Group
 	Teams    map[string]Team
@@ -315,6 +316,7 @@
 	own      Demand        // of its team at its priority
 	rate     Demand        // placed a second, without what more urgent jobs take
 	job      Demand        // of the job itself
+	free     float64       // CPU that is not in use
 	inFlight float64       // starts under way, which are served in turn
 	share    float64       // of its team
 	heldWait time.Duration // behind its team's own limit
@@ -323,7 +325,7 @@
 }
 
 func (c *Controller) queueFor(job Job) queue {
-	q := queue{share: c.share(job.Team), inFlight: c.backlog.InFlight, stands: c.backlog.InFlightOldest >= standingAge}
+	q := queue{share: c.share(job.Team), free: c.backlog.Free, inFlight: c.backlog.InFlight, stands: c.backlog.InFlightOldest >= standingAge}
 	var held Demand
 	heldStands := false
 	total, teamTotal := 0.0, 0.0 // work at all priorities
@@ -386,13 +388,14 @@
 // once the more urgent ones are served: the scheduler prefers teams below their share.
 func (q *queue) wait() (time.Duration, Bound) {
 	longest, bound := time.Duration(0), BoundNone
+	beyond := q.beyondFree()
 	for _, resource := range []struct {
 		bound                                Bound
 		first, ahead, urgent, own, job, rate float64
 	}{
 		{BoundTasks, q.inFlight, q.ahead.Tasks, q.urgent.Tasks, q.own.Tasks, q.job.Tasks, q.rate.Tasks},
-		{BoundCPU, 0, q.ahead.MilliCPU, q.urgent.MilliCPU, q.own.MilliCPU, q.job.MilliCPU, q.rate.MilliCPU},
-		{BoundWork, 0, q.ahead.Work, q.urgent.Work, q.own.Work, q.job.Work, q.rate.Work},
+		{BoundCPU, 0, beyond * q.ahead.MilliCPU, beyond * q.urgent.MilliCPU, beyond * q.own.MilliCPU, beyond * q.job.MilliCPU, q.rate.MilliCPU},
+		{BoundWork, 0, beyond * q.ahead.Work, beyond * q.urgent.Work, beyond * q.own.Work, beyond * q.job.Work, q.rate.Work},
 	} {
 		if resource.rate <= 0 {
 			continue // not known yet
@@ -408,6 +411,16 @@
 	return longest, bound
 }
 
+// beyondFree returns the part of what waits and of the job that has to wait until running
+// tasks end.
+func (q *queue) beyondFree() float64 {
+	demand := q.ahead.MilliCPU + q.job.MilliCPU
+	if demand <= q.free {
+		return 0
+	}
+	return (demand - q.free) / demand
+}
+
 // maxWait keeps an estimate within the range of a Duration.
 const maxWait = time.Hour
 
--- a/internal/core/dispatch/backlog.go
+++ b/internal/core/dispatch/backlog.go
@@ -74,6 +74,9 @@
 	groups := map[groupKey]*admission.Group{}
 	for s := range e.ready {
 		waited := e.waited(s, now, wall)
+		if s.wait.reason == WaitAnswer {
+			waited = 0 // the time of the placement policy, not of a queue
+		}
 		if s.spec.LongRunning {
 			continue
 		}
@@ -113,11 +116,14 @@
 
 // addWorkers adds the workers' capacity and the starts in flight.
 func (e *Engine) addWorkers(backlog *admission.Backlog, now time.Duration, wall time.Time) {
-	capacity := -e.load.lasting
+	capacity, free := -e.load.lasting, int64(0)
 	for _, w := range e.workers {
 		if w.listed {
 			capacity += w.info.Capacity.MilliCPU
 		}
+		if e.schedulable(w, now) {
+			free += max(0, w.free().MilliCPU)
+		}
 		for _, t := range w.tasks {
 			if t.phase == placed && !t.adopted {
 				backlog.InFlight++
@@ -125,7 +131,7 @@
 			}
 		}
 	}
-	backlog.Capacity = float64(max(0, capacity))
+	backlog.Capacity, backlog.Free = float64(max(0, capacity)), float64(free)
 }
 
 // waited returns the time that tasks of the step have been waiting for a start since a
