--- a/internal/app/replica/records.go
+++ b/internal/app/replica/records.go
@@ -59,8 +59,7 @@
 }
 
 // ParseSubmission returns the job in a submission record, or false for any other
-// record and for one that can't be decoded or
-// that describes a job beyond the limits.
+// record, for one that can't be decoded and for a job beyond the limits.
 func ParseSubmission(record port.KeyedRecord) (model.JobID, *logpb.Submission, bool) {
 	id, ok := strings.CutPrefix(record.Key, submissionPrefix)
 	if !ok || record.Value == nil {
