--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -61,6 +61,7 @@
 type connection struct {
 	life     int // in which it was accepted
 	lastCall time.Time
+	unacked  time.Time // of the first call that was sent while the machine was dark; zero for none
 }
 
 type connectionKey struct{}
@@ -69,6 +70,10 @@
 // connection, as the system asks for. A machine that has started again resets it then.
 const keepAlive = time.Second
 
+// firstRepetition is the time after which a kernel sends an unacknowledged packet again
+// on a fast network. The time doubles with each repetition.
+const firstRepetition = 200 * time.Millisecond
+
 type run struct {
 	run      uint64
 	spec     string
@@ -110,16 +115,23 @@
 	return nil
 }
 
-// resetOnProbe resets a connection of an earlier life with the next probe of the other
-// side's kernel. One that was opened while the machine was dark stays silent, since its
-// first packet was lost. The caller holds mu.
+// resetOnProbe resets a connection of an earlier life with the next packet of the other
+// side's kernel: the repetition of an unacknowledged one, or a probe. A connection that was
+// opened while the machine was dark stays silent, since its first packet was lost. The
+// caller holds mu.
 func (r *runner) resetOnProbe(c net.Conn, info *connection) {
 	if info.life%2 == 0 {
 		return
 	}
-	probe := info.lastCall.Add(keepAlive)
+	probe, pause := info.lastCall.Add(keepAlive), keepAlive
+	if !info.unacked.IsZero() {
+		probe, pause = info.unacked.Add(firstRepetition), 2*firstRepetition
+	}
 	for probe.Before(r.since) {
-		probe = probe.Add(keepAlive)
+		probe = probe.Add(pause)
+		if !info.unacked.IsZero() {
+			pause *= 2
+		}
 	}
 	time.AfterFunc(time.Until(probe), func() {
 		if tcp, ok := c.(*net.TCPConn); ok {
@@ -315,7 +327,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	life := info.life
-	info.lastCall = time.Now()
+	if r.dark && info.unacked.IsZero() {
+		info.unacked = time.Now()
+	} else if !r.dark {
+		info.lastCall = time.Now()
+	}
 	cuts, cut := r.cuts, r.cut
 	r.block(life, q)
 	if r.life != life || !r.up {
