--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,8 @@
 type scenario func(w *world, trouble bool) (broken bool, verdict string, err error)
 
 var scenarios = map[string]scenario{
-	"crashes": crashes,
+	"large":   largeJob,
+	"lasting": lastingTasks,
 	"kind":    changedKind,
 	"relist":  relisted,
 	"upkeep":  lateUpkeep,
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -27,6 +27,9 @@
 type store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
+	// refused counts the appends beyond the limits; log is told of some of them.
+	refused int
+	log     func(who, format string, args ...any)
 }
 
 type topic struct {
@@ -153,6 +156,12 @@
 	}
 	records, ok := parseRecords(body)
 	if !ok {
+		s.mu.Lock()
+		s.refused++
+		if n := s.refused; n == 1 || n%50 == 0 {
+			s.log("platform", "append of %d bytes to %s by epoch %s is refused; %d appends refused so far", len(body), name, query.Get("epoch"), n)
+		}
+		s.mu.Unlock()
 		reply(w, http.StatusBadRequest, map[string]any{"reason": "too large"})
 		return
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -81,6 +81,7 @@
 		lastBeat: map[string]time.Time{}, noted: map[string][]uint64{}, fenced: map[string]int{}, jobs: map[string]*jobState{},
 	}
 	w.cloud = newCloud(w)
+	w.store.log = w.log
 	go w.expireEntries()
 	return w, nil
 }
