--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -251,21 +252,20 @@
 	return len(again) > 0, fmt.Sprintf("%d starts were after a run of the task had ended done and the end had been taken note of", len(again)), nil
 }
 
-// largeJob plays a job of many small tasks, all of which there is room for, and a small
-// job after it.
-func largeJob(w *world, trouble bool) (bool, string, error) {
+// backlog plays a tenant whose jobs wait for its cap, and the change of the configuration
+// that lifts the cap.
+func backlog(w *world, trouble bool) (bool, string, error) {
 	const (
-		before = "5c0e7a21d94b36f7"
-		large  = "5c0e7a21d94b36f8"
-		small  = "5c0e7a21d94b36f9"
+		before   = "5c0e7a21d94b36f7"
+		small    = "5c0e7a21d94b36f9"
+		jobs     = 1400
+		interval = 27 * time.Millisecond // between two jobs, as usual on the site
+		tasks    = 60                    // of a job, the most on the site
+		cpu      = 3                     // of a task
 		// Jobs are asked for finishS after the end of the traffic, and for the 3 s after that.
 		finishS = 14 * time.Second
 	)
-	count := 40000
-	if !trouble {
-		count = 100
-	}
-	w.publish(queueOptions{MaxAttempts: 4})
+	w.publish(queueOptions{MaxAttempts: 4, Cap: 100 * cpu})
 	if err := w.addRunners(repeat("a", 8)); err != nil {
 		return false, "", err
 	}
@@ -273,25 +273,37 @@
 		return false, "", err
 	}
 	size := step{Count: 1, CPU: 2000, MemoryMB: 1024, EstimatedMs: 1000}
-	if !w.submit(before, "work_ms=1000", size) {
+	if !w.submitAs(otherKey, before, "work_ms=1000", size) {
 		return false, "", errors.New("a job was not accepted")
 	}
 	if state := w.awaitState(before, 20*time.Second, "completed"); state != "completed" {
-		return false, "", fmt.Errorf("the job before the large one is shown as %q", state)
+		return false, "", fmt.Errorf("the job before the backlog is shown as %q", state)
+	}
+	var clients sync.WaitGroup
+	var accepted atomic.Int64
+	for i := range jobs {
+		time.Sleep(interval)
+		clients.Go(func() {
+			if w.submit(fmt.Sprintf("5c0e7a21%08x", i), "work_ms=3000", step{Count: tasks, CPU: cpu, MemoryMB: 8, EstimatedMs: 3000}) {
+				accepted.Add(1)
+			}
+		})
 	}
-	if !w.submit(large, "work_ms=3000", step{Count: count, CPU: 5, MemoryMB: 16, EstimatedMs: 3000}) {
-		return false, "", errors.New("the large job was not accepted")
+	clients.Wait()
+	if trouble {
+		w.publish(queueOptions{MaxAttempts: 4, Later: 2})
+		w.log("operator", "op/config: version 9 lifts the cap of the tenant")
 	}
 	time.Sleep(2 * time.Second)
-	if !w.submit(small, "work_ms=1000", size) {
+	if !w.submitAs(otherKey, small, "work_ms=1000", size) {
 		return false, "", errors.New("the small job was not accepted")
 	}
 	state := w.awaitState(small, finishS+3*time.Second, "completed")
 	w.store.mu.Lock()
 	refused := w.store.refused
 	w.store.mu.Unlock()
-	verdict := fmt.Sprintf("%v after the end of the traffic the small job is shown as %q and has begun %d runs, the large one as %q and %d; the store has refused %d appends beyond request_bytes",
-		finishS+3*time.Second, state, len(w.startsOf(small)), w.state(large), len(w.startsOf(large)), refused)
+	verdict := fmt.Sprintf("%d of %d jobs of the tenant were accepted; %v after the end of the traffic a job of another tenant is shown as %q and has begun %d runs; the store has refused %d appends beyond request_bytes",
+		accepted.Load(), jobs, finishS+3*time.Second, state, len(w.startsOf(small)), refused)
 	return state != "completed" && len(w.startsOf(small)) == 0, verdict, nil
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,7 @@
 type scenario func(w *world, trouble bool) (broken bool, verdict string, err error)
 
 var scenarios = map[string]scenario{
-	"large":   largeJob,
+	"backlog": backlog,
 	"lasting": lastingTasks,
 	"kind":    changedKind,
 	"relist":  relisted,
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -25,6 +25,7 @@
 	routeHost = "nony24.example"
 	prefix    = "/lohu930/"
 	apiKey    = "6x73d3zji9n73hh2b9wu"
+	otherKey  = "3fexd9dnn2ctnfzs989a" // of a second tenant
 )
 
 // world is a small deployment: the platform, its runners, the nodes of the system as
@@ -224,15 +225,17 @@
 	return listener.Addr().String(), nil
 }
 
-// queueOptions are the fields of the route that cases set.
+// queueOptions are the fields of the configuration that cases set.
 type queueOptions struct {
 	MaxAttempts int
+	Later       int // added to the version
+	Cap         int // what the first tenant may have running, in thousandths of a core; 0 means no limit
 }
 
 // publish writes the configuration.
 func (w *world) publish(options queueOptions) {
 	config := map[string]any{
-		"version": 7,
+		"version": 7 + options.Later,
 		"routes": []any{map[string]any{
 			"name": "r-cpihhac", "host": routeHost, "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 3000,
 			"target_latency_ms": 1000, "priority": 1, "service": service, "max_attempts": options.MaxAttempts, "slowdown_factor": 2.2, "public": false,
@@ -241,8 +244,11 @@
 			"name": service, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false,
 			"cold_start_s": 0.0, "cold_per_s": 0.0, "admission_check": false, "standby": false,
 		}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "kaje80", "api_keys": []string{apiKey}, "weight": 25, "cap": map[string]any{"cpu": 0, "requested_memory_mb": 0, "gpu": 0}}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{
+			map[string]any{"name": "kaje80", "api_keys": []string{apiKey}, "weight": 25, "cap": map[string]any{"cpu": options.Cap, "requested_memory_mb": 0, "gpu": 0}},
+			map[string]any{"name": "nopu871", "api_keys": []string{otherKey}, "weight": 25, "cap": map[string]any{"cpu": 0, "requested_memory_mb": 0, "gpu": 0}},
+		},
 	}
 	encoded, err := json.Marshal(config)
 	if err != nil {
@@ -456,6 +462,11 @@
 
 // call sends a client's call to a node. It returns status 0 if there was no answer.
 func (w *world) call(n *node, method, path string, body any) (int, []byte) {
+	return w.callAs(apiKey, n, method, path, body)
+}
+
+// callAs is call with the key of a tenant.
+func (w *world) callAs(key string, n *node, method, path string, body any) (int, []byte) {
 	var reader io.Reader
 	if body != nil {
 		encoded, err := json.Marshal(body)
@@ -469,7 +480,7 @@
 		panic(err)
 	}
 	request.Host = routeHost
-	request.Header.Set("X-Api-Key", apiKey)
+	request.Header.Set("X-Api-Key", key)
 	request.Header.Set("X-Deadline-Ms", "3000")
 	request.Header.Set("Content-Type", "application/json")
 	answer, err := httpClient.Do(request)
@@ -486,13 +497,18 @@
 
 // submit hands a job in, with the retries of a client. It returns whether it was accepted.
 func (w *world) submit(id, spec string, steps ...step) bool {
+	return w.submitAs(apiKey, id, spec, steps...)
+}
+
+// submitAs is submit with the key of a tenant.
+func (w *world) submitAs(key, id, spec string, steps ...step) bool {
 	w.mu.Lock()
 	job := &jobState{}
 	w.jobs[id] = job
 	w.mu.Unlock()
 	for attempt := range 5 {
 		n := w.nodes[(int(id[15])+attempt)%len(w.nodes)]
-		status, _ := w.call(n, http.MethodPost, prefix+id, map[string]any{"task_spec": spec, "steps": steps})
+		status, _ := w.callAs(key, n, http.MethodPost, prefix+id, map[string]any{"task_spec": spec, "steps": steps})
 		w.log("client", "POST job %s (%s) to %s: %d", id, spec, n.name, status)
 		if status >= 200 && status < 300 {
 			job.accepted = true
