--- /dev/null
+++ b/review/cell-2/pending.go
@@ -0,0 +1,93 @@
+//go:build review2
+
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() { cases["pending"] = pendingCase }
+
+const (
+	// visibleTime is visible_ms + 2 s: from this age, a job that has not begun counts.
+	visibleTime = 5 * time.Second
+	// leastWaiting is the number of jobs from which a count is judged.
+	leastWaiting = 4
+)
+
+// pendingCase: the workers of a zone lose power and, a moment later, so does the owner.
+// The jobs that have not begun must be counted as pending.
+func pendingCase(c *Cell, trouble bool) int {
+	for i := range 8 {
+		c.AddWorker([]string{"north", "south"}[i/4], "a", Resources{CPU: 16000, Memory: 65536})
+	}
+	c.Configure(1, []Route{{Name: "quotes", Prefix: "/quotes/", Priority: 0, TargetMs: 250, MaxAttempts: 2, Slowdown: 1.5}},
+		[]Tenant{{Name: "one", Keys: []string{"key-one"}, Weight: 10}})
+	if !c.StartNodes("north", "south", "south", "south") {
+		return exitNotRun
+	}
+	time.Sleep(4 * time.Second)
+	owner := c.Owner()
+	var others []*Node
+	for _, n := range c.nodes {
+		if n != owner {
+			others = append(others, n)
+		}
+	}
+	var mu sync.Mutex
+	accepted := map[string]time.Time{}
+	var calls sync.WaitGroup
+	submit := func(i int) {
+		if id := jobID(0xb000 + i); c.Submit(i, "/quotes/", id, "key-one", 1000, Step{Count: 1, CPU: 2600, Memory: 2048, EstimatedMs: 1000}) {
+			mu.Lock()
+			accepted[id] = time.Now()
+			mu.Unlock()
+		}
+	}
+	for i := range 34 { // 30 a second
+		if i == 6 && trouble {
+			for _, w := range c.workers[:4] {
+				w.Dark()
+			}
+		}
+		if i == 32 && trouble {
+			owner.Signal(syscall.SIGKILL)
+		}
+		calls.Go(func() { submit(i) })
+		time.Sleep(33 * time.Millisecond)
+	}
+	calls.Wait()
+	broken := 0
+	for began := time.Now(); time.Since(began) < 12*time.Second; time.Sleep(200 * time.Millisecond) {
+		for _, n := range others {
+			waiting := map[string]bool{}
+			for id, at := range accepted {
+				waiting[id] = time.Since(at) > visibleTime && len(c.Runs(id)) == 0
+			}
+			status, text := c.call(n, http.MethodGet, "/quotes/", "", "key-one", nil)
+			var reply struct{ Pending *int }
+			if status != http.StatusOK || json.Unmarshal([]byte(text), &reply) != nil || reply.Pending == nil {
+				continue
+			}
+			count := 0
+			for id, before := range waiting {
+				if before && len(c.Runs(id)) == 0 {
+					count++
+				}
+			}
+			c.note("pending", "node", n.name, "said", *reply.Pending, "waiting", count)
+			if count >= leastWaiting && 2**reply.Pending < count {
+				broken++
+			}
+		}
+	}
+	c.note("wrong-counts", "count", broken)
+	if broken > 0 {
+		return exitBroken
+	}
+	return exitHeld
+}
