--- a/review/cell-2/pending.go
+++ b/review/cell-2/pending.go
@@ -19,23 +19,28 @@
 	leastWaiting = 4
 )
 
-// pendingCase: the workers of a zone lose power and, a moment later, so does the owner.
-// The jobs that have not begun must be counted as pending.
+// pendingCase: a zone loses power and, a moment later, the owner, which is in the other
+// zone, is killed. The node that is left must count the jobs that have not begun.
 func pendingCase(c *Cell, trouble bool) int {
-	for i := range 8 {
-		c.AddWorker([]string{"north", "south"}[i/4], "a", Resources{CPU: 16000, Memory: 65536})
-	}
 	c.Configure(1, []Route{{Name: "quotes", Prefix: "/quotes/", Priority: 0, TargetMs: 250, MaxAttempts: 2, Slowdown: 1.5}},
 		[]Tenant{{Name: "one", Keys: []string{"key-one"}, Weight: 10}})
-	if !c.StartNodes("north", "south", "south", "south") {
+	if !c.StartNodes("north", "north", "south", "south") {
 		return exitNotRun
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(time.Second)
 	owner := c.Owner()
-	var others []*Node
+	lost, kept := "north", "south" // the zone without power is not the owner's
+	if owner.zone == lost {
+		lost, kept = kept, lost
+	}
+	for i := range 8 {
+		c.AddWorker([]string{lost, kept}[i/4], "a", Resources{CPU: 16000, Memory: 65536})
+	}
+	time.Sleep(4 * time.Second)
+	var untouched *Node
 	for _, n := range c.nodes {
-		if n != owner {
-			others = append(others, n)
+		if n.zone == kept && n != owner {
+			untouched = n
 		}
 	}
 	var mu sync.Mutex
@@ -53,6 +58,11 @@
 			for _, w := range c.workers[:4] {
 				w.Dark()
 			}
+			for _, n := range c.nodes {
+				if n.zone == lost {
+					n.Signal(syscall.SIGKILL)
+				}
+			}
 		}
 		if i == 32 && trouble {
 			owner.Signal(syscall.SIGKILL)
@@ -63,27 +73,25 @@
 	calls.Wait()
 	broken := 0
 	for began := time.Now(); time.Since(began) < 12*time.Second; time.Sleep(200 * time.Millisecond) {
-		for _, n := range others {
-			waiting := map[string]bool{}
-			for id, at := range accepted {
-				waiting[id] = time.Since(at) > visibleTime && len(c.Runs(id)) == 0
-			}
-			status, text := c.call(n, http.MethodGet, "/quotes/", "", "key-one", nil)
-			var reply struct{ Pending *int }
-			if status != http.StatusOK || json.Unmarshal([]byte(text), &reply) != nil || reply.Pending == nil {
-				continue
-			}
-			count := 0
-			for id, before := range waiting {
-				if before && len(c.Runs(id)) == 0 {
-					count++
-				}
-			}
-			c.note("pending", "node", n.name, "said", *reply.Pending, "waiting", count)
-			if count >= leastWaiting && 2**reply.Pending < count {
-				broken++
+		waiting := map[string]bool{}
+		for id, at := range accepted {
+			waiting[id] = time.Since(at) > visibleTime && len(c.Runs(id)) == 0
+		}
+		status, text := c.call(untouched, http.MethodGet, "/quotes/", "", "key-one", nil)
+		var reply struct{ Pending *int }
+		if status != http.StatusOK || json.Unmarshal([]byte(text), &reply) != nil || reply.Pending == nil {
+			continue
+		}
+		count := 0
+		for id, before := range waiting {
+			if before && len(c.Runs(id)) == 0 {
+				count++
 			}
 		}
+		c.note("pending", "node", untouched.name, "said", *reply.Pending, "waiting", count)
+		if count >= leastWaiting && 2**reply.Pending < count {
+			broken++
+		}
 	}
 	c.note("wrong-counts", "count", broken)
 	if broken > 0 {
