--- a/review/cell-2/cell.go
+++ b/review/cell-2/cell.go
@@ -48,9 +48,8 @@
 	// The bounds hold_max_ms and stop_ms of the site whose figures the case takes.
 	holdMaxMs, stopMs int64
 
-	mu      sync.Mutex
-	runs    []runSeen
-	onStart func(runSeen)
+	mu   sync.Mutex
+	runs []runSeen
 }
 
 // runSeen is a run that a worker has begun.
@@ -97,9 +96,6 @@
 	c.runs = append(c.runs, seen)
 	c.mu.Unlock()
 	c.note("run-start", "worker", w.id, "zone", w.zone, "kind", w.kind, "task", task, "run", number)
-	if c.onStart != nil {
-		c.onStart(seen)
-	}
 }
 
 func (c *Cell) runEnded(w *Worker, task string, number uint64, how string) {
@@ -130,7 +126,7 @@
 }
 
 // AddWorker starts a worker.
-func (c *Cell) AddWorker(zone, kind string, capacity Resources) *Worker {
+func (c *Cell) AddWorker(zone, kind string, capacity Resources) {
 	n := len(c.workers) + 1
 	w := &Worker{
 		cell: c, id: fmt.Sprintf("i-%010x", 0x7f3a91c000+n), machine: fmt.Sprintf("m-%05x", n), zone: zone, rack: "r-" + zone,
@@ -138,7 +134,6 @@
 	}
 	c.workers = append(c.workers, w)
 	w.Up(time.Now().UnixMilli())
-	return w
 }
 
 func (c *Cell) machines(rw http.ResponseWriter, _ *http.Request) {
--- a/review/cell-2/pending.go
+++ b/review/cell-2/pending.go
@@ -71,31 +71,47 @@
 		time.Sleep(33 * time.Millisecond)
 	}
 	calls.Wait()
-	broken := 0
+	broken := wrongCounts(c, untouched, accepted)
+	c.note("wrong-counts", "count", broken)
+	if broken > 0 {
+		return exitBroken
+	}
+	return exitHeld
+}
+
+// wrongCounts asks the node for the number of pending jobs for a while and returns how
+// often it gave fewer than half of the accepted jobs that had waited long enough.
+func wrongCounts(c *Cell, n *Node, accepted map[string]time.Time) int {
+	wrong := 0
 	for began := time.Now(); time.Since(began) < 12*time.Second; time.Sleep(200 * time.Millisecond) {
-		waiting := map[string]bool{}
-		for id, at := range accepted {
-			waiting[id] = time.Since(at) > visibleTime && len(c.Runs(id)) == 0
-		}
-		status, text := c.call(untouched, http.MethodGet, "/quotes/", "", "key-one", nil)
+		before := waitingJobs(c, accepted)
+		status, text := c.call(n, http.MethodGet, "/quotes/", "", "key-one", nil)
 		var reply struct{ Pending *int }
 		if status != http.StatusOK || json.Unmarshal([]byte(text), &reply) != nil || reply.Pending == nil {
 			continue
 		}
-		count := 0
-		for id, before := range waiting {
-			if before && len(c.Runs(id)) == 0 {
-				count++
+		waiting := 0
+		for _, id := range before {
+			if len(c.Runs(id)) == 0 {
+				waiting++
 			}
 		}
-		c.note("pending", "node", untouched.name, "said", *reply.Pending, "waiting", count)
-		if count >= leastWaiting && 2**reply.Pending < count {
-			broken++
+		c.note("pending", "node", n.name, "said", *reply.Pending, "waiting", waiting)
+		if waiting >= leastWaiting && 2**reply.Pending < waiting {
+			wrong++
 		}
 	}
-	c.note("wrong-counts", "count", broken)
-	if broken > 0 {
-		return exitBroken
+	return wrong
+}
+
+// waitingJobs returns the jobs that were accepted visibleTime ago or earlier and have not
+// begun.
+func waitingJobs(c *Cell, accepted map[string]time.Time) []string {
+	var ids []string
+	for id, at := range accepted {
+		if time.Since(at) > visibleTime && len(c.Runs(id)) == 0 {
+			ids = append(ids, id)
+		}
 	}
-	return exitHeld
+	return ids
 }
--- a/review/cell-2/worker.go
+++ b/review/cell-2/worker.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -50,7 +49,7 @@
 	lastEnd  int
 	ended    chan struct{} // closed at the next end
 	life     int           // counts the incarnations
-	cut      chan struct{} // open while the worker is cut off, otherwise nil
+	noPower  chan struct{} // never closed; nil while the worker has power
 	seq      int
 }
 
@@ -125,7 +124,7 @@
 		w.cell.runGone(w, task, r.number)
 	}
 	w.runs = map[string]*run{}
-	w.cut = make(chan struct{})
+	w.noPower = make(chan struct{})
 	w.cell.note("worker-dark", "worker", w.id)
 	time.AfterFunc(3*beatInterval, func() { w.cell.store.Put("keyed.servers", w.id, nil) })
 }
@@ -212,30 +211,17 @@
 	return true
 }
 
-// Cut begins or ends a partition of the worker from all nodes, in which it runs on.
-func (w *Worker) Cut(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if on {
-		w.cut = make(chan struct{})
-	} else {
-		close(w.cut)
-		w.cut = nil
-	}
-	w.cell.note("worker-cut", "worker", w.id, "on", on)
-}
-
-// dropped reports whether the worker is cut off. A call that arrives then is not carried
-// out and gets no answer: its connection breaks when the partition ends.
+// dropped waits for ever if the worker has no power, so that the call is not carried out
+// and gets no answer. Otherwise it returns false at once.
 func (w *Worker) dropped() bool {
 	w.mu.Lock()
-	cut := w.cut
+	noPower := w.noPower
 	w.mu.Unlock()
-	if cut == nil {
+	if noPower == nil {
 		return false
 	}
-	<-cut
-	panic(http.ErrAbortHandler)
+	<-noPower
+	return true
 }
 
 // refuse answers with 409. The caller holds mu, which it releases.
@@ -338,5 +324,3 @@
 	w.dropped() // the answer is lost
 	answer(rw, http.StatusOK, reply)
 }
-
-func (w *Worker) String() string { return fmt.Sprintf("%s(%s)", w.id, w.zone) }
