--- a/review/cell-2/pending.go
+++ b/review/cell-2/pending.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -17,10 +18,14 @@
 	visibleTime = 5 * time.Second
 	// leastWaiting is the number of jobs from which a count is judged.
 	leastWaiting = 4
+	// zoneLossTime is the default for_s of zone_loss.
+	zoneLossTime = 5 * time.Second
 )
 
 // pendingCase: a zone loses power and, a moment later, the owner, which is in the other
-// zone, is killed. The node that is left must count the jobs that have not begun.
+// zone, is killed. The zone has power again after zoneLossTime. The node that nothing has
+// happened to must count the jobs that have not begun. ONLY=zone and ONLY=kill leave out the
+// other disruption.
 func pendingCase(c *Cell, trouble bool) int {
 	c.Configure(1, []Route{{Name: "quotes", Prefix: "/quotes/", Priority: 0, TargetMs: 250, MaxAttempts: 2, Slowdown: 1.5}},
 		[]Tenant{{Name: "one", Keys: []string{"key-one"}, Weight: 10}})
@@ -53,8 +58,9 @@
 			mu.Unlock()
 		}
 	}
+	lose, kill := trouble && os.Getenv("ONLY") != "kill", trouble && os.Getenv("ONLY") != "zone"
 	for i := range 34 { // 30 a second
-		if i == 6 && trouble {
+		if i == 6 && lose {
 			for _, w := range c.workers[:4] {
 				w.Dark()
 			}
@@ -63,8 +69,9 @@
 					n.Signal(syscall.SIGKILL)
 				}
 			}
+			time.AfterFunc(zoneLossTime, func() { c.restore(lost) })
 		}
-		if i == 32 && trouble {
+		if i == 32 && kill {
 			owner.Signal(syscall.SIGKILL)
 		}
 		calls.Go(func() { submit(i) })
@@ -79,6 +86,20 @@
 	return exitHeld
 }
 
+// restore gives a zone its power back: its nodes start again, and its workers under new ids.
+func (c *Cell) restore(zone string) {
+	c.note("zone-power-back", "zone", zone)
+	for _, n := range c.nodes {
+		if n.zone == zone {
+			<-n.done
+			n.Start()
+		}
+	}
+	for range 4 {
+		c.AddWorker(zone, "a", Resources{CPU: 16000, Memory: 65536})
+	}
+}
+
 // wrongCounts asks the node for the number of pending jobs for a while and returns how
 // often it gave fewer than half of the accepted jobs that had waited long enough.
 func wrongCounts(c *Cell, n *Node, accepted map[string]time.Time) int {
--- a/review/cell-2/policy.go
+++ b/review/cell-2/policy.go
@@ -17,9 +17,9 @@
 const (
 	// backlog is the number of jobs that wait when the owner changes. The new owner takes
 	// the longer to restore them the more there are.
-	backlog = 6000
+	backlog = 1200
 	// evacuationDelay is the time from the node's SIGTERM to the operator's request.
-	evacuationDelay = 25 * time.Millisecond
+	evacuationDelay = 15 * time.Millisecond
 	policyRounds    = 4
 )
 
