dispatch: retry steps that a reservation or the headroom held up

Cause: a step that could not be placed is not tried again while Engine.version stands. The end of a gang's reservation does not raise it, and neither does the decay of the headroom, a changed label or service of a worker, or the end of a pause or of a stray run that lies between two full passes. A gang also reserved workers where it could not start at all: fewer workers than it needs, workers that long-running tasks occupy, its limit per worker, its team's limit.

Change: an attempt that a reservation or the headroom ended, and any attempt between full passes, does not count as blocked. Labels and services raise the version. A gang reserves only if its members fit on the workers it may have and its team's limit admits it, keeps its reservation while it is not tried again (new steps took its workers in between), and does not reserve a second time in one pass.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -126,12 +126,8 @@
 	case now < s.adviceRetryAt:
 		return WaitRetry
 	}
-	demand := s.spec.Size
-	if s.gang != nil {
-		demand = demand.Scale(int64(len(s.tasks)))
-	}
 	jobTeam := s.occurrence.job.team
-	if !withinLimit(jobTeam, e.reserved[jobTeam].Add(demand)) {
+	if !withinLimit(jobTeam, e.reserved[jobTeam].Add(s.demand())) {
 		return WaitTeamLimit
 	}
 	if reserved && now < s.openSearchAt {
--- a/internal/core/dispatch/index.go
+++ b/internal/core/dispatch/index.go
@@ -181,8 +181,14 @@
 	if c.task.awaitsSeparation(c.now) && !e.separable(w, c.now) {
 		return false
 	}
-	if !size.Fits(free) || e.reservedForOther(s, w) || !e.eligible(s, w, c.now) || !e.allowed(s, w, c.now) ||
-		!e.belowWorkerLimit(s, w, c.planned[w]) {
+	if !size.Fits(free) {
+		return false
+	}
+	if e.reservedForOther(s, w) {
+		s.heldBriefly = true
+		return false
+	}
+	if !e.eligible(s, w, c.now) || !e.allowed(s, w, c.now) || !e.belowWorkerLimit(s, w, c.planned[w]) {
 		return false
 	}
 	points := score(s, c.task, w, free.Sub(size))
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -62,14 +62,22 @@
 			e.unreserved = e.remainderFor(queue.tiers[0].urgency)
 		}
 		if s.blockedVersion == e.version && s.blockedVersion != 0 && s.suspects == 0 && (!e.requiresAdvice(s) || s.awaitsAdvice(now)) {
+			if s.gang != nil {
+				e.reserveWorkers(s, now, wall)
+			}
 			e.reserveCapacity(s)
 			continue
 		}
 		version := e.version
+		s.heldBriefly = false
 		if e.placeStep(s, now, wall) {
 			continue
 		}
-		s.blockedVersion = version
+		// Only full passes compare the workers that are schedulable with those of the pass
+		// before, so that an attempt between two of them holds for none.
+		if s.blockedVersion = 0; full && !s.heldBriefly {
+			s.blockedVersion = version
+		}
 		e.reserveCapacity(s)
 		e.logWaiting(s, now, wall)
 	}
@@ -134,27 +142,10 @@
 // placeGang places all members of the gang or none, and reports whether it placed
 // them.
 func (e *Engine) placeGang(s *step, now time.Duration, wall time.Time) bool {
-	planned := map[*worker]int{}
-	chosen := make([]*worker, 0, len(s.tasks))
-	jobTeam := s.occurrence.job.team
-	fits := withinLimit(jobTeam, s.spec.Size.Scale(int64(len(s.tasks))))
-	for _, t := range s.tasks {
-		if !fits {
-			break
-		}
-		w := e.selectWorker(s, t, now, planned)
-		if w == nil {
-			fits = false
-			break
-		}
-		planned[w]++
-		chosen = append(chosen, w)
-	}
-	if !fits {
+	chosen := e.planGang(s, now)
+	if chosen == nil {
 		e.requestAdvice(s, now)
-		if wall.Sub(s.occurrence.due) > reserveDelay {
-			e.reserveWorkers(s, now)
-		}
+		e.reserveWorkers(s, now, wall)
 		return false
 	}
 	s.gang.run++
@@ -166,23 +157,73 @@
 	return true
 }
 
+// planGang returns a worker for each member of the gang, or nil if not all can be placed
+// now.
+func (e *Engine) planGang(s *step, now time.Duration) []*worker {
+	if !withinLimit(s.occurrence.job.team, s.demand()) {
+		return nil
+	}
+	planned := map[*worker]int{}
+	chosen := make([]*worker, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		w := e.selectWorker(s, t, now, planned)
+		if w == nil {
+			return nil
+		}
+		planned[w]++
+		chosen = append(chosen, w)
+	}
+	return chosen
+}
+
+// demand returns what the team's limit must admit at once for a start: all members of a
+// gang, or one task.
+func (s *step) demand() model.Resources {
+	if s.gang == nil {
+		return s.spec.Size
+	}
+	return s.spec.Size.Scale(int64(len(s.tasks)))
+}
+
 // gangReserveShare is the fraction of the listed workers that gangs together may have
 // reserved. The most urgent gang of a pass reserves what it needs.
 const gangReserveShare = 0.125
 
-// reserveWorkers reserves workers for the gang in this pass, so that they get no
-// less urgent tasks and the gang eventually fits.
-func (e *Engine) reserveWorkers(s *step, now time.Duration) {
+// reserveWorkers reserves workers until the next full pass for a gang that has waited for
+// reserveDelay, so that they get no less urgent tasks and the gang eventually fits. It
+// reserves none if the gang would not fit once they are idle, or if its team's limit does
+// not admit it: the workers would stay idle for nothing.
+func (e *Engine) reserveWorkers(s *step, now time.Duration, wall time.Time) {
+	if wall.Sub(s.occurrence.due) <= reserveDelay || s.gang.reservedPass == e.pass {
+		return
+	}
 	if e.gangReservePass != e.pass {
 		e.gangReservePass, e.gangReserved = e.pass, 0
 	}
-	if e.gangReserved > int(gangReserveShare*float64(e.listedWorkers)) {
+	if e.gangReserved > int(gangReserveShare*float64(e.listedWorkers)) || !withinLimit(s.occurrence.job.team, s.demand()) {
 		return
 	}
-	size := s.spec.footprint()
+	candidates := e.reservable(s, now)
+	missing := len(s.tasks)
+	for i, w := range candidates {
+		if missing -= s.gangSlots(w); missing > 0 {
+			continue
+		}
+		s.gang.reservedPass = e.pass
+		for _, reserved := range candidates[:i+1] {
+			reserved.reservedPass, reserved.reservedFor = e.pass, s
+		}
+		e.gangReserved += i + 1
+		return
+	}
+}
+
+// reservable returns the workers that may be reserved for the gang, those with the most
+// free CPU first.
+func (e *Engine) reservable(s *step, now time.Duration) []*worker {
 	var candidates []*worker
 	add := func(w *worker) {
-		if w.reservedPass != e.pass && e.eligible(s, w, now) && e.allowed(s, w, now) && size.Fits(w.info.Capacity) {
+		if w.reservedPass != e.pass && e.inUse(w, now) && e.suits(s, w) && e.allowed(s, w, now) && s.gangSlots(w) > 0 {
 			candidates = append(candidates, w)
 		}
 	}
@@ -201,15 +242,17 @@
 		}
 		return cmp.Compare(a.info.ID, b.info.ID)
 	})
-	missing := len(s.tasks)
-	for _, w := range candidates {
-		if missing <= 0 {
-			return
-		}
-		w.reservedPass, w.reservedFor = e.pass, s
-		e.gangReserved++
-		missing -= fitCount(size, w.info.Capacity)
-	}
+	return candidates
+}
+
+// gangSlots returns how many members of the gang fit on the worker once all tasks that
+// end by themselves have left it.
+func (s *step) gangSlots(w *worker) int {
+	slots := fitCount(s.spec.footprint(), w.info.Capacity.Sub(w.longRunning).Max(model.Resources{}))
+	if s.spec.MaxPerWorker > 0 {
+		slots = min(slots, s.spec.MaxPerWorker)
+	}
+	return slots
 }
 
 // reservedForOther reports whether a gang other than the step has reserved the worker
@@ -236,17 +279,26 @@
 // eligible reports whether the worker is schedulable, belongs to the service of the
 // step's queue and has the label that the step requires.
 func (e *Engine) eligible(s *step, w *worker, now time.Duration) bool {
-	if !e.schedulable(w, now) || w.info.Service != e.queue(s.occurrence.job).Service {
-		return false
-	}
-	return s.spec.Requires == "" || slices.Contains(w.info.Labels, s.spec.Requires)
+	return e.schedulable(w, now) && e.suits(s, w)
+}
+
+// suits reports whether the worker belongs to the service of the step's queue and has the
+// label that the step requires.
+func (e *Engine) suits(s *step, w *worker) bool {
+	return w.info.Service == e.queue(s.occurrence.job).Service &&
+		(s.spec.Requires == "" || slices.Contains(w.info.Labels, s.spec.Requires))
 }
 
 // schedulable reports whether the worker may get new tasks now.
 func (e *Engine) schedulable(w *worker, now time.Duration) bool {
-	return w.listed && w.synced && w.suspects == 0 && !w.cordoned && !w.info.Draining && w.info.Incarnation == w.incarnation &&
-		!e.outOfService[w.info.Domain] && len(w.orphaned) == 0 &&
-		now-w.lastReport <= e.settings.MaxReportAge && !w.health.paused(now)
+	return e.inUse(w, now) && w.suspects == 0 && len(w.orphaned) == 0 && !w.health.paused(now)
+}
+
+// inUse reports whether the worker may get new tasks, now or after what keeps it from
+// them for a short time.
+func (e *Engine) inUse(w *worker, now time.Duration) bool {
+	return w.listed && w.synced && !w.cordoned && !w.info.Draining && w.info.Incarnation == w.incarnation &&
+		!e.outOfService[w.info.Domain] && now-w.lastReport <= e.settings.MaxReportAge
 }
 
 // selectWorker returns the best worker for the task, or nil if none can run it now.
@@ -256,7 +308,8 @@
 	if planned == nil && !withinLimit(s.occurrence.job.team, s.spec.Size) {
 		return nil
 	}
-	if !s.spec.footprint().Add(e.headroom(s)).Fits(e.free) {
+	if size := s.spec.footprint(); !size.Add(e.headroom(s)).Fits(e.free) {
+		s.heldBriefly = s.heldBriefly || size.Fits(e.free) // the headroom decays
 		return nil
 	}
 	find := search{engine: e, step: s, task: t, now: now, planned: planned}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -25,6 +25,9 @@
 	t.orderedPace = fullPace
 	t.workedFrom, t.workedUntil, t.pendingSince = 0, 0, 0
 	w.used = w.used.Add(t.step.spec.footprint())
+	if t.step.spec.LongRunning {
+		w.longRunning = w.longRunning.Add(t.step.spec.footprint())
+	}
 	w.tasks[t.name()] = t
 	if t.step.placedOn != nil {
 		t.step.placedOn[w]++
@@ -46,6 +49,9 @@
 	e.endSeparation(t)
 	t.worker = nil
 	w.used = w.used.Sub(t.step.spec.footprint())
+	if t.step.spec.LongRunning {
+		w.longRunning = w.longRunning.Sub(t.step.spec.footprint())
+	}
 	delete(w.tasks, t.name())
 	if t.step.placedOn != nil {
 		t.step.placedOn[w]--
@@ -69,7 +75,9 @@
 	for _, info := range list {
 		present[info.ID] = true
 		w := e.worker(info.ID)
-		if !w.listed || w.info.Draining != info.Draining || !info.Capacity.Fits(w.info.Capacity) {
+		relabeled := !slices.Equal(w.info.Labels, info.Labels)
+		if !w.listed || w.info.Draining != info.Draining || !info.Capacity.Fits(w.info.Capacity) ||
+			relabeled || w.info.Service != info.Service {
 			e.version++
 		}
 		if info.Draining && (info.Incarnation == w.incarnation || w.incarnation == 0) {
@@ -81,7 +89,7 @@
 		if !w.sameClass(info) {
 			e.addClass(classOf(info))
 		}
-		if !w.listed || w.info.Rack != info.Rack || !slices.Equal(w.info.Labels, info.Labels) {
+		if !w.listed || w.info.Rack != info.Rack || relabeled {
 			e.relabel(w, append(slices.Clone(info.Labels), info.Rack))
 		}
 		w.info, w.listed = info, true
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -65,7 +65,8 @@
 	searchFrom      int           // workers that the next search passes over, since those before found no use for them
 	reservedPass    int           // last full pass since which capacity is reserved for it
 	wait            wait
-	blockedVersion  uint64 // Engine.version at the last unsuccessful attempt to place it; zero for none
+	blockedVersion  uint64 // Engine.version at the last unsuccessful attempt to place it in a full pass; zero if it is to be tried again
+	heldBriefly     bool   // what held it up in the last attempt can end without a change of Engine.version
 }
 
 // ticket is the placement policy's approval for a worker to run the step.
@@ -84,6 +85,8 @@
 	done       bool
 	aborting   bool // a member ended or did not start; the others are being stopped
 	checkpoint string
+	// reservedPass is the last pass in which workers were reserved for it.
+	reservedPass int
 }
 
 type task struct {
@@ -154,6 +157,7 @@
 	synced        bool  // has reported since this engine was created
 	lastReport    time.Duration
 	used          model.Resources
+	longRunning   model.Resources // the part of used that long-running tasks occupy
 	tasks         map[TaskName]*task
 	orphaned      map[TaskName]*orphan // reported runs that are no task's current run
 	acked         uint64               // sequence number up to which ends are durable
