dispatcher: register for policy changes before the policy is read

Cause: takeOver read the policy and restored the jobs, and only then did Serve register for changes. A change in between reached policy.Current, but not the engine.

Change: policy.Current has subscriptions that end; the session subscribes before it reads the policy, and reads it with the engine locked.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -35,6 +35,8 @@
 type cellNode struct {
 	name           string
 	log            *nodeLog
+	logger         *logrus.Logger
+	policy         *policy.Current
 	replica        *replica.Replica
 	cellDispatcher *dispatcher.Dispatcher
 	service        *intake.Service
@@ -108,12 +110,12 @@
 		logger.SetOutput(file)
 		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "05.000"})
 	}
-	n := &cellNode{name: name, log: &nodeLog{memLog: c.log}, done: make(chan struct{})}
+	n := &cellNode{name: name, log: &nodeLog{memLog: c.log}, logger: logger, done: make(chan struct{})}
 	n.replica = replica.New(c.clock, logger)
 	tail := &logtail.Tail{Log: n.log, Clock: c.clock, Topic: replica.CellTopic, Follower: n.replica, Logger: logger}
-	// A policy.Current notifies a single function, so each node's dispatcher needs its own.
-	current := &policy.Current{}
+	current := &policy.Current{} // each node reads the operators' records by itself
 	current.Set(c.policy.Get())
+	n.policy = current
 	n.cellDispatcher = dispatcher.New(dispatcher.Options{
 		Node: name, Log: n.log, Clock: c.clock, Replica: n.replica, Tail: tail, Policy: current,
 		Workers: c.fleet, Directory: c.fleet, Pool: c.pool, Logger: logger,
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -108,11 +108,11 @@
 		d.session.Store(nil)
 		s.rejectPending()
 	}()
+	defer d.options.Policy.Subscribe(s.policyChanged)() // before takeOver reads the policy
 	if err := s.takeOver(ctx); err != nil {
 		return err
 	}
 	defer d.options.Replica.Listen(nil, nil)
-	d.options.Policy.Notify(s.policyChanged)
 	var group sync.WaitGroup
 	group.Go(func() {
 		s.Directory.Follow(ctx, func(list []dispatch.WorkerInfo) { s.updateWorkers(ctx, &group, list) })
@@ -385,14 +385,14 @@
 	s.wake()
 }
 
+// applyPolicy gives the engine the newest policy. It is read with the lock held: of two
+// calls at once, the later one must not set an older policy.
 func (s *ownerSession) applyPolicy() {
-	snapshot := s.Policy.Get()
-	if snapshot == nil {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.engine.SetPolicy(snapshot.Queues(), snapshot.Teams, snapshot.OutOfService)
+	if snapshot := s.Policy.Get(); snapshot != nil {
+		s.engine.SetPolicy(snapshot.Queues(), snapshot.Teams, snapshot.OutOfService)
+	}
 }
 
 // wake triggers a commit round.
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -5,6 +5,7 @@
 
 import (
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,14 +78,16 @@
 // Current holds the newest snapshot. It is safe for concurrent use.
 type Current struct {
 	current atomic.Pointer[Snapshot]
-	changed atomic.Pointer[func()]
+
+	mu            sync.Mutex
+	subscriptions map[*func()]struct{}
 }
 
 // Get returns the newest snapshot, or nil before the first Set.
 func (c *Current) Get() *Snapshot { return c.current.Load() }
 
-// Set publishes a snapshot and calls the function set by Notify. It ignores a snapshot
-// of an older version and reports false, so that the policy never reverts.
+// Set publishes a snapshot and calls the subscribers. It ignores a snapshot of an older
+// version and reports false, so that the policy never reverts.
 func (c *Current) Set(s *Snapshot) bool {
 	for {
 		old := c.current.Load()
@@ -95,12 +98,36 @@
 			break
 		}
 	}
-	if notify := c.changed.Load(); notify != nil {
-		(*notify)()
+	for _, notify := range c.subscribers() {
+		notify()
 	}
 	return true
 }
 
-// Notify sets the function that Set calls after each change. It replaces the previous
-// function.
-func (c *Current) Notify(f func()) { c.changed.Store(&f) }
+func (c *Current) subscribers() []func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]func(), 0, len(c.subscriptions))
+	for f := range c.subscriptions {
+		list = append(list, *f)
+	}
+	return list
+}
+
+// Subscribe makes Set call f after each change until cancel is called; a call that has
+// begun may end later. A subscriber that reads the snapshot after Subscribe has returned
+// misses no change. Calls of f may overlap.
+func (c *Current) Subscribe(f func()) (cancel func()) {
+	subscription := &f
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.subscriptions == nil {
+		c.subscriptions = map[*func()]struct{}{}
+	}
+	c.subscriptions[subscription] = struct{}{}
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.subscriptions, subscription)
+	}
+}
