dispatch: place tasks on a restarted worker only by its own list entry

The worker had returned under its id as one of another kind, and its new entry was not on the worker list yet.

Cause: after a restart applyRestart set the incarnation of the list's entry to that of the report, and UpdateWorkers did so with an older list, so that labels and capacity of the former incarnation passed for those of the new one.

Change: the entry keeps its own incarnation, and a worker gets new tasks only while the entry is that of the incarnation that answers.

The stand-in of crashes_test.go publishes the entry of a worker that has returned, as workers do.

--- a/internal/core/dispatch/crashes_test.go
+++ b/internal/core/dispatch/crashes_test.go
@@ -28,10 +28,12 @@
 	ended   map[model.JobID]JobState
 	events  []Event
 	saved   map[TaskName]TaskState
+	listed  []model.VMID // workers on the list
 }
 
 type crashWorker struct {
 	incarnation int64
+	listedAs    int64 // incarnation of its latest entry on the worker list
 	bornAt      time.Duration
 	downUntil   time.Duration
 	silent      bool // sends no reports
@@ -58,10 +60,13 @@
 }
 
 func (c *crashTest) list(ids ...model.VMID) {
+	c.listed = ids
 	var list []WorkerInfo
 	for _, id := range ids {
+		w := c.workers[id]
+		w.listedAs = w.incarnation
 		info := testWorker(id)
-		info.Incarnation = c.workers[id].incarnation
+		info.Incarnation = w.incarnation
 		list = append(list, info)
 	}
 	c.engine.UpdateWorkers(list)
@@ -120,6 +125,9 @@
 		report.ActiveRuns = append(report.ActiveRuns, ActiveRun{Task: name, Run: run.run, Percent: fullPace})
 	}
 	c.engine.ApplyReport(id, report, c.now)
+	if w.listedAs != w.incarnation && slices.Contains(c.listed, id) {
+		c.list(c.listed...) // the worker has published its new entry
+	}
 }
 
 // take delivers the engine's orders. Those to a worker that is down have no effect.
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -295,7 +295,8 @@
 }
 
 // inUse reports whether the worker may get new tasks, now or after what keeps it from
-// them for a short time.
+// them for a short time. The entry on the worker list must be that of its incarnation: the
+// next one may be of another kind.
 func (e *Engine) inUse(w *worker, now time.Duration) bool {
 	return w.listed && w.synced && !w.cordoned && !w.info.Draining && w.info.Incarnation == w.incarnation &&
 		!e.outOfService[w.info.Domain] && now-w.lastReport <= e.settings.MaxReportAge
--- a/internal/core/dispatch/reports.go
+++ b/internal/core/dispatch/reports.go
@@ -68,7 +68,6 @@
 func (e *Engine) applyRestart(w *worker, report WorkerReport) {
 	draining := w.info.Draining && w.info.Incarnation == report.Incarnation
 	w.incarnation, w.acked, w.handled = report.Incarnation, 0, 0
-	w.info.Incarnation = report.Incarnation
 	clear(w.orphaned)
 	e.version++
 	reported := map[TaskName]uint64{}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -77,15 +77,12 @@
 		w := e.worker(info.ID)
 		relabeled := !slices.Equal(w.info.Labels, info.Labels)
 		if !w.listed || w.info.Draining != info.Draining || !info.Capacity.Fits(w.info.Capacity) ||
-			relabeled || w.info.Service != info.Service {
+			relabeled || w.info.Service != info.Service || w.info.Incarnation != info.Incarnation {
 			e.version++
 		}
 		if info.Draining && (info.Incarnation == w.incarnation || w.incarnation == 0) {
 			w.plannedStop = true
 		}
-		if info.Incarnation < w.incarnation {
-			info.Incarnation = w.incarnation // the list is older than the worker's last report
-		}
 		if !w.sameClass(info) {
 			e.addClass(classOf(info))
 		}
