advice: ask nodes that do not answer ever more rarely

Cause: the records of removed nodes stay, and a node whose call failed lost its queue, so that it came before every node that answers once its pause of 2 s was over. A request asked three removed nodes, and 200 ms later the next three.

Change: the pause doubles with each call in a row that gets no answer, up to 32 s; a node that answers without advice, as in an outage of the placement policy, keeps the pause of 2 s. The second and later attempts of a request go to nodes that have answered their last call, this one at least.

--- a/internal/app/advice/pool.go
+++ b/internal/app/advice/pool.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/balsamhitch/balsamhitch/internal/core/dispatch"
 	"github.com/balsamhitch/balsamhitch/internal/core/model"
 	"github.com/balsamhitch/balsamhitch/internal/pb/peerpb"
@@ -17,8 +19,11 @@
 )
 
 const (
-	// downPeriod is how long a node gets no requests after a failed call.
-	downPeriod = 2 * time.Second
+	// downPeriod is how long a node gets no requests after a failed call. It doubles with
+	// each further call in a row that gets no answer, up to maxDownPeriod: the records of
+	// removed nodes stay.
+	downPeriod    = 2 * time.Second
+	maxDownPeriod = 32 * time.Second
 	// answerGrace is how much later than expected a node may answer. It covers a few
 	// network round trips and scheduling delays on a slow VM.
 	answerGrace = 150 * time.Millisecond
@@ -41,41 +46,62 @@
 type nodeState struct {
 	busyUntil time.Duration // expected
 	downUntil time.Duration
+	failures  int // calls in a row that got no answer
 }
 
 var _ port.Advisor = (*Pool)(nil)
 
+// noAdvice is the class of errors of calls that a node answers without advice.
+var noAdvice = errs.Class("no advice")
+
 // Advise implements port.Advisor. If the call through another node fails, it
 // retries through the next one.
 func (p *Pool) Advise(ctx context.Context, request dispatch.AdviceRequest) (approved []dispatch.Approval, validity time.Duration, err error) {
-	for range maxAttempts {
-		node, address, due := p.pickNode(request.ExpectedLatency)
+	for attempt := range maxAttempts {
+		node, address, due := p.pickNode(request.ExpectedLatency, attempt > 0)
 		if node == p.Node {
 			return p.Local.Advise(ctx, request)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, due-p.Clock.Now()+request.ExpectedLatency/2+answerGrace)
 		approved, validity, err = p.callPeer(callCtx, address, request)
 		cancel()
-		if err == nil || ctx.Err() != nil {
+		if err != nil && ctx.Err() != nil {
 			return approved, validity, err
 		}
-		p.markDown(node)
+		p.record(node, err)
+		if err == nil {
+			return approved, validity, nil
+		}
 	}
 	return nil, 0, err
 }
 
-// markDown excludes a node for downPeriod after a failed call.
-func (p *Pool) markDown(node string) {
+// record records the result of a call through the node. After a failed one the node is
+// excluded for a while.
+func (p *Pool) record(node string, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.nodes[node].downUntil = p.Clock.Now() + downPeriod
-	p.nodes[node].busyUntil = 0
+	state := p.nodes[node]
+	now := p.Clock.Now()
+	switch {
+	case err == nil:
+		state.failures = 0
+		return
+	case noAdvice.Has(err):
+		state.failures = 0
+		state.downUntil = now + downPeriod
+	case now >= state.downUntil: // otherwise one of several calls that failed together
+		state.downUntil = now + min(downPeriod<<min(state.failures, 16), maxDownPeriod)
+		state.failures++
+	}
+	state.busyUntil = 0
 }
 
 // pickNode adds the request to the queue of the node that is expected to be idle
-// first. It returns the node, its peer address and, in due, the clock reading at which
-// its answer is expected.
-func (p *Pool) pickNode(expected time.Duration) (node, address string, due time.Duration) {
+// first. With answered set, that is one that has answered its last call, or has had none.
+// It returns the node, its peer address and, in due, the clock reading at which its answer
+// is expected.
+func (p *Pool) pickNode(expected time.Duration, answered bool) (node, address string, due time.Duration) {
 	addresses := p.Addresses()
 	addresses[p.Node] = ""
 	now := p.Clock.Now()
@@ -87,7 +113,7 @@
 	node = p.Node
 	for _, name := range slices.Sorted(maps.Keys(addresses)) {
 		candidate := p.nodeState(name)
-		if name != p.Node && now < candidate.downUntil {
+		if name != p.Node && (now < candidate.downUntil || answered && candidate.failures > 0) {
 			continue
 		}
 		if candidate.busyUntil < p.nodeState(node).busyUntil {
@@ -120,7 +146,7 @@
 	}
 	answer := reply.GetAdvice()
 	if answer == nil {
-		return nil, 0, port.NotStarted.New("node at %s returned no advice", address)
+		return nil, 0, noAdvice.New("node at %s got no answer from the placement policy", address)
 	}
 	approved := make([]dispatch.Approval, 0, len(answer.GetApproved()))
 	for _, a := range answer.GetApproved() {
--- a/internal/app/advice/pool_test.go
+++ b/internal/app/advice/pool_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,3 +67,43 @@
 		assert.LessOrEqual(t, slow, 2, "requests delayed by the unresponsive node within 2.4 s")
 	})
 }
+
+// Guards against steps that wait for ever for advice, as only removed nodes are asked.
+func TestRemovedNodesDelayFewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const latency, removed = 12 * time.Millisecond, 40
+		nodes := &fakePeers{latency: latency, unresponsive: map[string]bool{}, calls: map[string]int{}}
+		addresses := map[string]string{"z": "z"}
+		for i := range removed {
+			name := fmt.Sprintf("a%02d", i)
+			addresses[name], nodes.unresponsive[name] = name, true
+		}
+		p := &Pool{
+			Node: "self", Local: fakeAdvisor{latency}, Peers: nodes, Clock: porttest.NewClock(nil, time.Hour, 0),
+			Addresses: func() map[string]string { return maps.Clone(addresses) },
+		}
+		request := func() error {
+			_, _, err := p.Advise(t.Context(), dispatch.AdviceRequest{Workers: []model.VMID{"w"}, ExpectedLatency: latency})
+			time.Sleep(200 * time.Millisecond)
+			return err
+		}
+		for start := time.Now(); time.Since(start) < time.Minute; {
+			_ = request()
+		}
+		failed := 0
+		for range 100 {
+			if request() != nil {
+				failed++
+			}
+		}
+		assert.Zero(t, failed, "the second attempt asks a node that has answered")
+		nodes.unresponsive = map[string]bool{}
+		time.Sleep(maxDownPeriod)
+		for range 200 {
+			require.NoError(t, request())
+		}
+		for name := range addresses {
+			assert.Zero(t, p.nodes[name].failures, "node %s is used again", name)
+		}
+	})
+}
