dispatch: place at most 64 runs on a worker that it has not confirmed

Cause: the owner decided and sent all of their starts at once. They exceeded what the workers answer within the time of a call, were given up as not sent, and each that was given up pauses its worker for 250 ms.

Change: a worker on which 64 placed runs are not confirmed gets only members of gangs. The step is tried again in the next full pass.

--- a/internal/core/dispatch/index.go
+++ b/internal/core/dispatch/index.go
@@ -170,6 +170,11 @@
 	bestScore float64
 }
 
+// maxStarting is the number of runs that a worker may have to confirm when a task other than
+// a member of a gang is placed on it. More would wait for each other, give up and be placed
+// again when the starts of thousands of tasks fall together.
+const maxStarting = 64
+
 // visit rates the worker, and reports whether the task may run there now.
 func (c *search) visit(w *worker) bool {
 	e, s := c.engine, c.step
@@ -184,7 +189,7 @@
 	if !size.Fits(free) {
 		return false
 	}
-	if e.reservedForOther(s, w) {
+	if e.reservedForOther(s, w) || w.starting >= maxStarting && s.gang == nil {
 		s.heldBriefly = true
 		return false
 	}
--- a/internal/core/dispatch/jobs.go
+++ b/internal/core/dispatch/jobs.go
@@ -243,6 +243,7 @@
 	if t.phase != placed && t.phase != running {
 		return
 	}
+	t.leavePlaced()
 	t.phase = stopping
 	t.confirmedAt = 0
 	e.orderStop(t)
--- a/internal/core/dispatch/load_test.go
+++ b/internal/core/dispatch/load_test.go
@@ -276,3 +276,30 @@
 	}
 	assert.True(t, found, "the long-running task waits behind the urgent jobs")
 }
+
+// Guards against a cell that stands still when thousands of tasks can start at once: their
+// starts exceed what the workers answer in time, are given up and pause the workers.
+func TestFewStartsAwaitEachWorkersAnswer(t *testing.T) {
+	e := newTestEngine("w1", "w2")
+	reportAll(e, time.Second, nil, "w1", "w2")
+	many := smallStep(5000)
+	many.Size = model.Resources{MilliCPU: 3, MemoryMiB: 8}
+	require.True(t, e.AddJob("j", testJob(many), testStart))
+	started, now := 0, time.Second
+	for range 100 {
+		e.Schedule(now, testStart.Add(now))
+		starts := e.TakeBatch().Starts
+		require.LessOrEqual(t, len(starts), 2*maxStarting)
+		for _, order := range starts {
+			e.ApplyStarted(order.Task, order.Run, order.Worker, now)
+		}
+		started += len(starts)
+		now += idlePassInterval
+		e.ApplyReport("w1", WorkerReport{Incarnation: 1, Clock: 0}, now)
+		e.ApplyReport("w2", WorkerReport{Incarnation: 1, Clock: 0}, now)
+	}
+	assert.Equal(t, 5000, started)
+	for _, w := range e.workers {
+		assert.Zero(t, w.starting)
+	}
+}
--- a/internal/core/dispatch/reports.go
+++ b/internal/core/dispatch/reports.go
@@ -156,6 +156,7 @@
 		}
 		e.runStarted(t)
 		if t.phase == placed {
+			t.leavePlaced()
 			t.phase = running
 		}
 		if t.phase == running {
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -29,6 +29,9 @@
 		w.longRunning = w.longRunning.Add(t.step.spec.footprint())
 	}
 	w.tasks[t.name()] = t
+	if t.phase == placed {
+		w.starting++
+	}
 	if t.step.placedOn != nil {
 		t.step.placedOn[w]++
 	}
@@ -40,6 +43,13 @@
 	}
 }
 
+// leavePlaced is called before the phase of an assigned task changes.
+func (t *task) leavePlaced() {
+	if t.phase == placed {
+		t.worker.starting--
+	}
+}
+
 // release is the inverse of assign; it does nothing for an unassigned task.
 func (e *Engine) release(t *task) {
 	w := t.worker
@@ -47,6 +57,7 @@
 		return
 	}
 	e.endSeparation(t)
+	t.leavePlaced()
 	t.worker = nil
 	w.used = w.used.Sub(t.step.spec.footprint())
 	if t.step.spec.LongRunning {
@@ -112,6 +123,7 @@
 	if t == nil || t.phase != placed {
 		return
 	}
+	t.leavePlaced()
 	t.phase = running
 	e.runStarted(t)
 	t.confirmedAt = clock
--- a/internal/core/dispatch/state.go
+++ b/internal/core/dispatch/state.go
@@ -158,6 +158,7 @@
 	lastReport    time.Duration
 	used          model.Resources
 	longRunning   model.Resources // the part of used that long-running tasks occupy
+	starting      int             // placed runs that the worker has not confirmed
 	tasks         map[TaskName]*task
 	orphaned      map[TaskName]*orphan // reported runs that are no task's current run
 	acked         uint64               // sequence number up to which ends are durable
