dispatcher, intake: keep appends within the size that the log takes

Cause: all decisions of a round went into one append, however large. The log refuses records beyond its limit (2 MiB on the users' platform), and the owner repeats an append until the log answers otherwise; other nodes took the cell over and did the same. The records that a node appends without an owner had no limit either.

A round is made durable in parts of at most that size; no order is sent before the last. A new owner can go on from the first parts alone: the end of a job now precedes the last states of its tasks, so that a task that has failed for good is not started again, and the records of a purged job's tasks are deleted before its submission, so that none is left over.

--- a/internal/app/celltest/cell_test.go
+++ b/internal/app/celltest/cell_test.go
@@ -68,11 +68,17 @@
 var cellQueue = dispatch.Queue{Name: "q", Service: "pattern", MaxAttempts: 4, Slowdown: 4, BaseLatency: time.Second}
 
 func newCell(t *testing.T, seed uint64, nodes, workers int) *cell {
+	return newCellWithLimit(t, seed, nodes, workers, maxAppendBytes)
+}
+
+// newCellWithLimit returns a cell whose log takes appends of at most the given size.
+func newCellWithLimit(t *testing.T, seed uint64, nodes, workers, appendBytes int) *cell {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	c := &cell{
 		t: t, rng: rng, log: newMemLog(rand.New(rand.NewPCG(seed, 1))), fleet: newFleet(rand.New(rand.NewPCG(seed, 2)), workers),
 		policy: &policy.Current{}, clock: porttest.NewClock(nil, time.Hour, 0), deadly: map[int]bool{},
 	}
+	c.log.maxAppendBytes = appendBytes
 	c.fleet.clock = c.clock
 	pool, err := ants.NewPool(64, ants.WithNonblocking(true))
 	require.NoError(t, err)
@@ -120,7 +126,7 @@
 		Node: name, Log: n.log, Clock: c.clock, Replica: n.replica, Tail: tail, Policy: current,
 		Workers: c.fleet, Directory: c.fleet, Pool: c.pool, Logger: logger,
 		Engine: dispatch.Settings{StopTimeout: stopTime, MaxReportAge: 1800 * time.Millisecond},
-		Lease:  5 * time.Second, EndRetention: 10 * time.Minute,
+		Lease:  5 * time.Second, EndRetention: 10 * time.Minute, MaxAppendBytes: c.log.maxAppendBytes,
 	})
 	tail.ReadPause = func() time.Duration {
 		if n.cellDispatcher.Owning() {
@@ -130,7 +136,7 @@
 	}
 	n.service = intake.New(intake.Options{
 		Policy: current, Log: n.log, Replica: n.replica, Tail: tail, Clock: c.clock, Logger: logger,
-		Forward: func(ctx context.Context, record port.KeyedRecord) error { return c.forward(ctx, n, record) },
+		Forward: func(ctx context.Context, record port.KeyedRecord) error { return c.forward(ctx, n, record) }, MaxAppendBytes: c.log.maxAppendBytes,
 	})
 	n.candidate = &election.Candidate{
 		Node: name, Log: n.log, Clock: c.clock, Replica: n.replica, Tail: tail, Owner: n.cellDispatcher, Logger: logger,
--- a/internal/app/celltest/log_test.go
+++ b/internal/app/celltest/log_test.go
@@ -28,6 +28,7 @@
 	lateProbability float64       // that an append gets no answer and is executed seconds later
 	down            bool
 	repeats         int // appends that repeated an executed one
+	maxAppendBytes  int // limit of the records of one append together
 }
 
 type topic struct {
@@ -46,7 +47,7 @@
 var errNoAnswer = errs.New("no answer")
 
 func newMemLog(rng *rand.Rand) *memLog {
-	return &memLog{topics: map[string]*topic{}, changed: make(chan struct{}), rng: rng, delay: 4 * time.Millisecond}
+	return &memLog{topics: map[string]*topic{}, changed: make(chan struct{}), rng: rng, delay: 4 * time.Millisecond, maxAppendBytes: maxAppendBytes}
 }
 
 func (l *memLog) topic(name string) *topic {
@@ -75,7 +76,17 @@
 	return nil
 }
 
+// maxAppendBytes is the usual limit of the records of one append together.
+const maxAppendBytes = 2 << 20
+
 func (l *memLog) Append(ctx context.Context, name string, records []port.KeyedRecord, options port.AppendOptions) (uint64, error) {
+	size := 0
+	for i := range records {
+		size += records[i].Size()
+	}
+	if size > l.maxAppendBytes {
+		return 0, port.Refused.New("records of %d bytes together; the limit is %d", size, l.maxAppendBytes)
+	}
 	l.mu.Lock()
 	finishesAll := l.finishesAll
 	l.mu.Unlock()
--- a/internal/app/dispatcher/commit.go
+++ b/internal/app/dispatcher/commit.go
@@ -104,19 +104,8 @@
 	if err != nil {
 		return err
 	}
-	var records []port.KeyedRecord
-	for _, write := range writes {
-		records = append(records, write.records...)
-	}
-	records = append(records, decided...) // the submission of a job precedes its placements
-	if len(records) > 0 {
-		_, err := s.append(ctx, records)
-		for _, write := range writes {
-			write.done <- err
-		}
-		if err != nil {
-			return err
-		}
+	if err := s.appendParts(ctx, splitBatch(writes, decided, s.MaxAppendBytes)); err != nil {
+		return err
 	}
 	s.execute(ctx, &batch)
 	if resigning {
@@ -125,6 +114,55 @@
 	return nil
 }
 
+// batchPart is the part of a batch that goes into one append.
+type batchPart struct {
+	records []port.KeyedRecord
+	writes  []*write // whose records are in it
+}
+
+// splitBatch divides the callers' writes and the records decided in a round into parts of
+// at most limit bytes, in this order: the submission of a job precedes its placements. A
+// write or record that is larger by itself has a part of its own. A new owner may find the
+// first parts without the rest, as no order has been sent before the last part is durable.
+func splitBatch(writes []*write, decided []port.KeyedRecord, limit int) []batchPart {
+	var parts []batchPart
+	size := 0
+	last := func(added int) *batchPart {
+		if size += added; len(parts) == 0 || size > limit && len(parts[len(parts)-1].records) > 0 {
+			parts, size = append(parts, batchPart{}), added
+		}
+		return &parts[len(parts)-1]
+	}
+	for _, w := range writes {
+		added := 0
+		for i := range w.records {
+			added += w.records[i].Size()
+		}
+		part := last(added)
+		part.records, part.writes = append(part.records, w.records...), append(part.writes, w)
+	}
+	for _, record := range decided {
+		part := last(record.Size())
+		part.records = append(part.records, record)
+	}
+	return parts
+}
+
+// appendParts makes the parts durable one after the other and answers their writes. After
+// an error, which ends the session, the remaining writes get it too.
+func (s *ownerSession) appendParts(ctx context.Context, parts []batchPart) error {
+	var err error
+	for i := range parts {
+		if err == nil {
+			_, err = s.append(ctx, parts[i].records)
+		}
+		for _, w := range parts[i].writes {
+			w.done <- err
+		}
+	}
+	return err
+}
+
 // logListAge logs when the worker list becomes too old for placements, and when it is
 // current again.
 func (s *ownerSession) logListAge(current bool) {
--- a/internal/app/dispatcher/dispatcher.go
+++ b/internal/app/dispatcher/dispatcher.go
@@ -46,6 +46,8 @@
 	Lease time.Duration
 	// UpkeepDuration is how long a machine is unavailable during its upkeep.
 	UpkeepDuration time.Duration
+	// MaxAppendBytes limits the records of one append together, in bytes.
+	MaxAppendBytes int
 	// EndRetention is how long the final state of an ended job can be queried.
 	EndRetention time.Duration
 }
--- a/internal/app/intake/intake.go
+++ b/internal/app/intake/intake.go
@@ -71,6 +71,8 @@
 	Tail    *logtail.Tail
 	Clock   port.Clock
 	Logger  logrus.FieldLogger
+	// MaxAppendBytes limits the records of one append together, in bytes.
+	MaxAppendBytes int
 	// Forward sends a record to the cell's owner, which makes it durable with its
 	// next batch. An error of class NotStarted proves that it will not; one of class
 	// NoOwner means in addition that a new owner is expected.
@@ -95,7 +97,7 @@
 
 // New returns a Service.
 func New(options Options) *Service {
-	return &Service{Options: options, direct: writer{log: options.Log, clock: options.Clock, tail: options.Tail, replica: options.Replica}}
+	return &Service{Options: options, direct: writer{log: options.Log, clock: options.Clock, tail: options.Tail, replica: options.Replica, maxBytes: options.MaxAppendBytes}}
 }
 
 // Call is a caller's call to a route.
--- a/internal/app/intake/intake_test.go
+++ b/internal/app/intake/intake_test.go
@@ -32,7 +32,8 @@
 		current := &policy.Current{}
 		current.Set(&policy.Snapshot{Version: 1})
 		service := New(Options{
-			Policy: current, Log: silentLog{}, Replica: replica.New(clock, logger), Tail: &logtail.Tail{}, Clock: clock, Logger: logger,
+			MaxAppendBytes: 1 << 20,
+			Policy:         current, Log: silentLog{}, Replica: replica.New(clock, logger), Tail: &logtail.Tail{}, Clock: clock, Logger: logger,
 			Forward: func(ctx context.Context, _ port.KeyedRecord) error {
 				<-ctx.Done()
 				return ctx.Err()
--- a/internal/app/intake/slowlog_test.go
+++ b/internal/app/intake/slowlog_test.go
@@ -55,7 +55,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	go tail.Run(ctx)
 	service := New(Options{
-		Policy: current, Log: log, Replica: copied, Tail: tail, Clock: clock, Logger: logger,
+		MaxAppendBytes: 1 << 20,
+		Policy:         current, Log: log, Replica: copied, Tail: tail, Clock: clock, Logger: logger,
 		Forward: func(context.Context, port.KeyedRecord) error { return port.NotStarted.New("the log takes no append") },
 	})
 	time.Sleep(5 * time.Second)
--- a/internal/app/intake/writer.go
+++ b/internal/app/intake/writer.go
@@ -39,7 +39,7 @@
 )
 
 // writer appends callers' records to the cell's log when the owner can't be reached.
-// It makes one append at a time, of all pending records. While the log is slow and the
+// It makes one append at a time, of all pending records within its limit. While the log is slow and the
 // cell has a living owner, it makes none: the log takes one append after the other, and
 // the owner's stores the records of all nodes. It is safe for concurrent use.
 type writer struct {
@@ -47,6 +47,8 @@
 	clock   port.Clock
 	tail    *logtail.Tail
 	replica *replica.Replica
+	// maxBytes limits the records of one append together, in bytes.
+	maxBytes int
 
 	mu      sync.Mutex
 	pending []*pendingRecord
@@ -105,14 +107,28 @@
 	return true
 }
 
+// take removes and returns the first pending records, those that fit one append together
+// or a single larger one. Without any, run has to end.
+func (w *writer) take() []*pendingRecord {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	size, count := 0, 0
+	for _, p := range w.pending {
+		if size += p.record.Size(); size > w.maxBytes && count > 0 {
+			break
+		}
+		count++
+	}
+	batch := w.pending[:count:count]
+	w.pending = w.pending[count:]
+	w.running = count > 0
+	return batch
+}
+
 // run appends until no record is pending.
 func (w *writer) run(nodes int) {
 	for {
-		w.mu.Lock()
-		batch := w.pending
-		w.pending = nil
-		w.running = len(batch) > 0
-		w.mu.Unlock()
+		batch := w.take()
 		if len(batch) == 0 {
 			return
 		}
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -130,11 +130,11 @@
 			MaxReportAge: maxReportAge, TicketMargin: ticketMargin,
 		},
 		Lease: min(settings.Bounds.LongestLease(), maxLease), EndRetention: settings.Bounds.JobEndRetention() + endRetentionMargin,
-		UpkeepDuration: settings.Bounds.Upkeep(),
+		UpkeepDuration: settings.Bounds.Upkeep(), MaxAppendBytes: settings.MaxAppendBytes(),
 	})
 	n.service = intake.New(intake.Options{
 		Policy: n.policy, Log: n.store, Replica: n.replica, Tail: n.cellTail, Clock: n.clock,
-		Logger: logger.WithField("part", "intake"), Forward: n.forward,
+		Logger: logger.WithField("part", "intake"), Forward: n.forward, MaxAppendBytes: settings.MaxAppendBytes(),
 	})
 	n.candidate = &election.Candidate{
 		Node: n.settings.Node, Peers: n, Handovers: make(chan uint64, 1), ClaimDelay: n.claimDelay,
--- a/internal/app/node/shutdown_test.go
+++ b/internal/app/node/shutdown_test.go
@@ -163,7 +163,8 @@
 		settings: platform.Settings{Bounds: platform.Bounds{ShutdownS: shutdownMs / 1000}},
 	}
 	n.service = intake.New(intake.Options{
-		Policy: current, Log: downLog{}, Replica: n.replica, Tail: &logtail.Tail{}, Clock: clock, Logger: logger,
+		MaxAppendBytes: 1 << 20,
+		Policy:         current, Log: downLog{}, Replica: n.replica, Tail: &logtail.Tail{}, Clock: clock, Logger: logger,
 		Forward: func(ctx context.Context, _ port.KeyedRecord) error {
 			waiting <- struct{}{}
 			<-ctx.Done()
--- a/internal/app/ownerbench/owner_bench_test.go
+++ b/internal/app/ownerbench/owner_bench_test.go
@@ -273,7 +273,8 @@
 	current.Set(snapshot)
 	vm := platform.VM{FileDescriptors: 4100}
 	owner := dispatcher.New(dispatcher.Options{
-		Node: "n0", Log: c, Clock: clock, Replica: copied, Tail: tail, Policy: current, Directory: c, Advice: c, Pool: pool, Logger: logger,
+		MaxAppendBytes: 1 << 20,
+		Node:           "n0", Log: c, Clock: clock, Replica: copied, Tail: tail, Policy: current, Directory: c, Advice: c, Pool: pool, Logger: logger,
 		Workers: platform.NewWorkers(httpcall.Limits{PerHost: 12, IdlePerHost: 3, Idle: vm.IdleConnections()}),
 		Engine:  dispatch.Settings{StopTimeout: 400 * time.Millisecond, MaxReportAge: 1800 * time.Millisecond, TicketMargin: 250 * time.Millisecond},
 		Lease:   5 * time.Second, EndRetention: 2 * time.Minute,
--- a/internal/app/replica/records.go
+++ b/internal/app/replica/records.go
@@ -110,6 +110,11 @@
 	for i, state := range batch.Tasks {
 		last[state.Task] = i
 	}
+	for _, end := range batch.Ended {
+		list.add(encodeRecord(EndKey(end.Job), &logpb.JobRecord{
+			State: endToWire[end.State], EndedUnixMs: now.UnixMilli(), Team: end.Team,
+		}))
+	}
 	for i, state := range batch.Tasks {
 		if last[state.Task] == i && !deleted[state.Task.Job] {
 			list.add(encodeRecord(TaskKey(state.Task), taskToWire(state)))
@@ -120,17 +125,12 @@
 			list.add(encodeRecord(OccurrenceKey(done.Job, done.Number), &logpb.OccurrenceRecord{CompletedUnixMs: now.UnixMilli()}))
 		}
 	}
-	for _, end := range batch.Ended {
-		list.add(encodeRecord(EndKey(end.Job), &logpb.JobRecord{
-			State: endToWire[end.State], EndedUnixMs: now.UnixMilli(), Team: end.Team,
-		}))
-	}
 	for _, job := range batch.Purged {
-		list.addTombstone(SubmissionKey(job.Job))
-		list.addTombstone(CancellationKey(job.Job))
 		for _, task := range job.Tasks {
 			list.addTombstone(TaskKey(task))
 		}
+		list.addTombstone(SubmissionKey(job.Job))
+		list.addTombstone(CancellationKey(job.Job))
 	}
 	return list.records, list.err
 }
--- a/internal/port/celllog.go
+++ b/internal/port/celllog.go
@@ -40,6 +40,12 @@
 	Value  []byte
 }
 
+// recordOverhead is more than the log adds to the key and the value of a record, in bytes.
+const recordOverhead = 16
+
+// Size returns what the record takes of the limit of an append, in bytes.
+func (r *KeyedRecord) Size() int { return recordOverhead + len(r.Key) + len(r.Value) }
+
 // Producer identifies the process that may append under a name. Appends with an
 // epoch lower than the highest one seen fail with Fenced. Sequence numbers of an
 // epoch have no gaps; an append with a repeated number is deduplicated.
@@ -76,7 +82,8 @@
 // corresponds to a stream of Log; both are the platform's terms.
 type KeyedLog interface {
 	// Append atomically appends the records and returns the offset of the first.
-	// Without records it only raises the producer's epoch.
+	// Without records it only raises the producer's epoch. The log refuses records that
+	// are larger together than its limit.
 	Append(ctx context.Context, topic string, records []KeyedRecord, options AppendOptions) (uint64, error)
 	// Read returns records with offsets of at least from. If there are none, it
 	// waits for the first one for at most wait.
