dispatch: a worker that restarts with a lower start time has restarted

Cause: ApplyReport took a report with a lower start time for a late one of an earlier incarnation and dropped it, for good. The poll loop of a worker has one poll at a time and drops the answers that come too late, so that reports are applied in the order of the worker's answers.

Change: any other start time than the last one is that of a later incarnation, also where crashes are attributed and resolved.

--- a/internal/core/dispatch/crashes.go
+++ b/internal/core/dispatch/crashes.go
@@ -280,7 +280,7 @@
 		suspects = append(suspects[:maxLoggedSuspects], fmt.Sprintf("and %d more", more))
 	}
 	for i, t := range tasks {
-		if t.incarnation >= incarnation || t.step.spec.LongRunning && !runs[i].early() || t.crashes.index(w.info.ID, t.incarnation) >= 0 {
+		if t.incarnation == incarnation || t.step.spec.LongRunning && !runs[i].early() || t.crashes.index(w.info.ID, t.incarnation) >= 0 {
 			continue
 		}
 		before := t.crashes.resolved()
@@ -330,7 +330,7 @@
 		changed := false
 		for i := len(t.crashes) - 1; i >= 0; i-- {
 			crash := t.crashes[i]
-			if crash.Worker != id || !crash.Unresolved || incarnation < crash.Incarnation {
+			if crash.Worker != id || !crash.Unresolved {
 				continue
 			}
 			changed = true
--- a/internal/core/dispatch/reports.go
+++ b/internal/core/dispatch/reports.go
@@ -11,12 +11,11 @@
 const reportMargin = 50 * time.Millisecond
 
 // ApplyReport applies a worker's report of active and ended runs. Stop orders for
-// orphaned runs are in the next TakeStopOrders.
+// orphaned runs are in the next TakeStopOrders. The reports of a worker must be applied in
+// the order of its answers: another incarnation than the last one is a later one, even if
+// its start time is lower, as after its clock was set back.
 func (e *Engine) ApplyReport(id model.VMID, report WorkerReport, now time.Duration) {
 	w := e.worker(id)
-	if w.synced && report.Incarnation < w.incarnation {
-		return // late report of a previous incarnation
-	}
 	e.resolveCrashes(id, report.Incarnation)
 	if report.Incarnation != w.incarnation {
 		e.applyRestart(w, report)
--- a/internal/core/dispatch/restart_test.go
+++ b/internal/core/dispatch/restart_test.go
@@ -41,3 +41,26 @@
 		assert.Equal(t, TaskName{Job: "b"}, starts[0].Task)
 	}
 }
+
+// Guards against a worker that is not heard again, and tasks that hang on it, after it has
+// restarted with a clock that was set back.
+func TestRestartWithLowerStartTimeIsARestart(t *testing.T) {
+	e := newTestEngine()
+	entry := testWorker("w1")
+	entry.Incarnation = 1000
+	e.UpdateWorkers([]WorkerInfo{entry})
+	e.ApplyReport("w1", WorkerReport{Incarnation: 1000, Clock: time.Second}, time.Second)
+	require.True(t, e.AddJob("j", testJob(smallStep(1)), testStart))
+	e.Schedule(time.Second, testStart)
+	require.Len(t, e.TakeBatch().Starts, 1)
+
+	now := 2 * time.Second
+	e.ApplyReport("w1", WorkerReport{Incarnation: 500, Clock: time.Millisecond}, now)
+	entry.Incarnation = 500
+	e.UpdateWorkers([]WorkerInfo{entry})
+	e.Schedule(now+idlePassInterval, testStart.Add(now))
+	starts := e.TakeBatch().Starts
+	require.Len(t, starts, 1)
+	assert.EqualValues(t, 500, starts[0].Incarnation)
+	assert.EqualValues(t, 2, starts[0].Run)
+}
