--- a/internal/app/celltest/restart_test.go
+++ b/internal/app/celltest/restart_test.go
@@ -167,6 +167,29 @@
 	})
 }
 
+// Guards against a restart that the owner notices only when a poll times out, though a start
+// has found another incarnation at the worker's address.
+func TestStartThatFindsAnotherIncarnationEndsThePoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 2, 1)
+		time.Sleep(3 * time.Second)
+		var noticed time.Time
+		c.node(c.ownerIndex()).logger.AddHook(&messageHook{
+			"worker restarted; ignoring this report and polling again with a higher token",
+			func() { noticed = time.Now() },
+		})
+		c.fleet.losePower("w0", 100*time.Millisecond)
+		lost := time.Now()
+		c.submit(0, smallSpec(), time.Second)
+		time.Sleep(5 * time.Second)
+		require.False(t, noticed.IsZero())
+		const limit = 400*time.Millisecond + 50*time.Millisecond + 150*time.Millisecond // a start without an answer, and the pauses before the next start and poll
+		assert.Less(t, noticed.Sub(lost), limit)
+		c.check()
+		c.close()
+	})
+}
+
 // runWorkerLivesScenario submits jobs while workers lose power and return under their id,
 // at once or after seconds, are cut off and unlisted, and owners are killed. No task can
 // be hit often enough to be given up.
--- a/internal/app/intake/writer.go
+++ b/internal/app/intake/writer.go
@@ -39,9 +39,9 @@
 )
 
 // writer appends callers' records to the cell's log when the owner can't be reached.
-// It makes one append at a time, of all pending records within its limit. While the log is slow and the
-// cell has a living owner, it makes none: the log takes one append after the other, and
-// the owner's stores the records of all nodes. It is safe for concurrent use.
+// It makes one append at a time, of all pending records within its limit. While the log is
+// slow and the cell has a living owner, it makes none: the log takes one append after the
+// other, and the owner's stores the records of all nodes. It is safe for concurrent use.
 type writer struct {
 	log     port.KeyedLog
 	clock   port.Clock
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -73,8 +73,8 @@
 		if e.placeStep(s, now, wall) {
 			continue
 		}
-		// Only full passes compare the workers that are schedulable with those of the pass
-		// before, so that an attempt between two of them holds for none.
+		// An attempt between full passes does not mark the step as blocked: a worker may have
+		// been paused in it and at neither of the full passes, which compare the workers.
 		if s.blockedVersion = 0; full && !s.heldBriefly {
 			s.blockedVersion = version
 		}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -60,8 +60,8 @@
 }
 
 // CellWorker sends the orders of balsam-node to the workers of its cell. Errors of the
-// classes NotStarted and NotConnected and of type *RejectedError prove that the call had no effect;
-// after any other error the outcome is unknown and the call may take effect seconds
+// classes NotStarted and NotConnected and of type *RejectedError prove that the call had no
+// effect; after any other error the outcome is unknown and the call may take effect seconds
 // later.
 type CellWorker interface {
 	// Poll returns the worker's active and ended runs and renews the leases of the
