--- a/review/cell-3/cases.go
+++ b/review/cell-3/cases.go
@@ -17,9 +17,10 @@
 "tenants":[{"name":"t-1","api_keys":[%q],"weight":30,"cap":{"cpu":0,"requested_memory_mb":0,"gpu":0}}]}`, host, prefix, attempts, key)
 }
 
-// crashes hands in a job of one task, and then one of a task that lasts. It crashes the runner
-// that the task is at work on, one runner of eight at a time, for a second.
-func crashes(root, folder string) (verdict, string) {
+// unstarted hands in a job of one sound task. Three runners, one of eight at a time, crash
+// before an order to start the task reaches them, and are back a second later. The task is
+// at work on none of them when they crash.
+func unstarted(root, folder string) (verdict, string) {
 	c, err := newCell(root, folder, 3, 8, config(4))
 	if err != nil {
 		return cannotRun, err.Error()
@@ -28,59 +29,47 @@
 		return cannotRun, "the nodes are not ready"
 	}
 	time.Sleep(2 * time.Second)
-	result, texts := held, []string{}
-	for _, job := range []struct{ id, what, body string }{
-		{"00000000000000a1", "a job of one task of 4 s", `{"task_spec":"work=4s","steps":[{"count":1,"cpu":9000,"requested_memory_mb":34000,"estimated_ms":4000}]}`},
-		{"00000000000000a2", "a job of one task that lasts", `{"task_spec":"lasts","steps":[{"count":1,"cpu":9000,"requested_memory_mb":34000,"long_running":true}]}`},
-	} {
-		if err := c.submit(job.id, job.body, 4); err != nil {
-			return cannotRun, "the job was not accepted: " + err.Error()
-		}
-		state, crashed, err := c.crashUnder(job.id)
-		if err != nil {
-			return cannotRun, err.Error()
-		}
+	const id, task, most = "00000000000000a1", "00000000000000a1.0.0.0", 3
+	crashes := 0
+	if c.trouble {
 		c.mu.Lock()
-		ends := strings.Join(c.ends[job.id+".0.0.0"], " ")
-		c.mu.Unlock()
-		texts = append(texts, fmt.Sprintf("%s is shown as %s after %d crashes of runners; ends of its runs that runners listed: [%s]", job.what, state, crashed, ends))
-		c.note("%s", texts[len(texts)-1])
-		if state == "failed" {
-			result = broken
+		c.crashBefore = func(r *runner, ordered string) bool { // the caller holds the runner's mu
+			if ordered != task || crashes == most {
+				return false
+			}
+			crashes++
+			go func() {
+				time.Sleep(time.Second)
+				if err := r.start(); err != nil {
+					c.note("runner %s does not come back: %v", r.id, err)
+					return
+				}
+				c.note("runner %s is back", r.id)
+			}()
+			return true
 		}
+		c.mu.Unlock()
 	}
-	return result, strings.Join(texts, "; ")
-}
-
-// crashUnder crashes the runner of each run of the job's only task, up to five times. It
-// returns the job's state once it has ended, or after 30 s.
-func (c *cell) crashUnder(id string) (state string, crashed int, err error) {
-	task := id + ".0.0.0"
-	for began := time.Now(); time.Since(began) < 30*time.Second; time.Sleep(100 * time.Millisecond) {
+	if err := c.submit(id, `{"task_spec":"work=4s","steps":[{"count":1,"cpu":9000,"requested_memory_mb":34000,"estimated_ms":4000}]}`, 4); err != nil {
+		return cannotRun, "the job was not accepted: " + err.Error()
+	}
+	state := ""
+	for began := time.Now(); time.Since(began) < 60*time.Second; time.Sleep(100 * time.Millisecond) {
 		if state = c.state(id); state == "completed" || state == "failed" {
-			return state, crashed, nil
-		}
-		if !c.trouble || c.ran(task) <= crashed || crashed == 5 {
-			continue
-		}
-		crashed++
-		time.Sleep(1500 * time.Millisecond)
-		for _, r := range c.runners {
-			r.mu.Lock()
-			at := r.running[task] != nil
-			r.mu.Unlock()
-			if !at {
-				continue
-			}
-			r.crash()
-			time.Sleep(time.Second)
-			if err := r.start(); err != nil {
-				return state, crashed, err
-			}
-			c.note("runner %s is back", r.id)
+			break
 		}
 	}
-	return state, crashed, nil
+	c.mu.Lock()
+	starts, ends := len(c.starts[task]), strings.Join(c.ends[task], " ")
+	c.mu.Unlock()
+	text := fmt.Sprintf("the job is shown as %s; runs of its task that a runner has begun: %d, ends that runners listed: [%s], runners that crashed under a run of it: 0, before an order to start it reached them: %d", state, starts, ends, crashes)
+	if state == "failed" {
+		return broken, text
+	}
+	if state != "completed" {
+		return cannotRun, text
+	}
+	return held, text
 }
 
 // fields hands in jobs whose bodies are legal in size and made of very many short fields.
@@ -148,77 +137,3 @@
 	observeTime  = 30 * time.Second
 	ordinaryTime = 10 * time.Second
 )
-
-// lasting hands a job of tasks that last in and crashes the runner that they have just
-// begun on, for 4.5 s.
-func lasting(root, folder string) (verdict, string) {
-	c, err := newCell(root, folder, 3, 8, config(4))
-	if err != nil {
-		return cannotRun, err.Error()
-	}
-	if !c.ready(20 * time.Second) {
-		return cannotRun, "the nodes are not ready"
-	}
-	time.Sleep(2 * time.Second)
-	const id, tasks = "00000000000000d1", 12
-	if err := c.submit(id, fmt.Sprintf(`{"task_spec":"lasts","steps":[{"count":%d,"cpu":1000,"requested_memory_mb":1000,"long_running":true}]}`, tasks), 4); err != nil {
-		return cannotRun, "the job was not accepted: " + err.Error()
-	}
-	time.Sleep(2 * time.Second)
-	counts := map[*runner]int{}
-	for _, r := range c.runners {
-		r.mu.Lock()
-		counts[r] = len(r.running)
-		r.mu.Unlock()
-	}
-	victim := c.runners[0]
-	for r, n := range counts {
-		if n > counts[victim] {
-			victim = r
-		}
-	}
-	c.note("most tasks are at work on %s: %d", victim.id, counts[victim])
-	lastRun := time.Now()
-	calm := lastRun
-	if c.trouble {
-		victim.crash()
-		time.Sleep(4500 * time.Millisecond)
-		if err := victim.start(); err != nil {
-			return cannotRun, err.Error()
-		}
-		calm = time.Now()
-		c.note("runner %s is back", victim.id)
-	}
-	// The rule holds from 6 s after the last run, in 3 s before which 4 s were calm.
-	from := lastRun.Add(6 * time.Second)
-	if after := calm.Add(4 * time.Second); after.After(from) {
-		from = after
-	}
-	idle := map[string]time.Time{}
-	for time.Since(lastRun) < 25*time.Second {
-		atWork := map[string]bool{}
-		for _, r := range c.runners {
-			r.mu.Lock()
-			for task := range r.running {
-				atWork[task] = true
-			}
-			r.mu.Unlock()
-		}
-		now := time.Now()
-		for i := range tasks {
-			task := fmt.Sprintf("%s.0.0.%d", id, i)
-			if atWork[task] || now.Before(from) {
-				delete(idle, task)
-				continue
-			}
-			if idle[task].IsZero() {
-				idle[task] = now
-			}
-			if now.Sub(idle[task]) > 3*time.Second {
-				return broken, fmt.Sprintf("task %s is not at work %.1f s after its last run, %.1f s after the runner was back", task, now.Sub(lastRun).Seconds(), now.Sub(calm).Seconds())
-			}
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return held, "all tasks were started again in time"
-}
--- a/review/cell-3/cell.go
+++ b/review/cell-3/cell.go
@@ -44,6 +44,9 @@
 	began  time.Time
 	starts map[string][]string // runs that have started, by task
 	ends   map[string][]string // ends of runs, by task
+	// crashBefore reports whether the runner loses power before an order to start the task
+	// reaches it; nil for never.
+	crashBefore func(r *runner, task string) bool
 }
 
 // running is the cell of this process.
@@ -77,11 +80,10 @@
 	}
 }
 
-// ran returns the starts of a task.
-func (c *cell) ran(task string) int {
+func (c *cell) losesPower(r *runner, task string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.starts[task])
+	return c.crashBefore != nil && c.crashBefore(r, task)
 }
 
 // newCell starts the stand-ins and the nodes, each on a loopback address of its own.
--- a/review/cell-3/main.go
+++ b/review/cell-3/main.go
@@ -25,9 +25,8 @@
 )
 
 var cases = map[string]func(root, folder string) (verdict, string){
-	"crashes": crashes,
-	"fields":  fields,
-	"lasting": lasting,
+	"fields":    fields,
+	"unstarted": unstarted,
 }
 
 func main() {
--- a/review/cell-3/runner.go
+++ b/review/cell-3/runner.go
@@ -70,19 +70,6 @@
 	return nil
 }
 
-// crash ends the life: all runs and connections end.
-func (r *runner) crash() {
-	r.mu.Lock()
-	r.up = false
-	server := r.server
-	for task, run := range r.running {
-		r.cell.note("runner %s crashes under %s run %d", r.id, task, run.number)
-	}
-	r.running = map[string]*run{}
-	r.mu.Unlock()
-	_ = server.Close()
-}
-
 func (r *runner) alive(life int) bool { return r.up && r.life == life }
 
 func (r *runner) beat(life int) {
@@ -160,6 +147,12 @@
 	if !r.up {
 		panic(http.ErrAbortHandler)
 	}
+	if request.URL.Path == "/-/run-start" && r.cell.losesPower(r, o.Task) {
+		r.up = false
+		r.cell.note("runner %s crashes; an order to start %s run %d does not reach it", r.id, o.Task, o.Run)
+		go func(server *http.Server) { _ = server.Close() }(r.server)
+		panic(http.ErrAbortHandler)
+	}
 	if instance := request.Header.Get("X-Expected-Instance"); instance != "" && instance != r.id {
 		r.answer(w, http.StatusMisdirectedRequest, "")
 		return
