--- a/review/cell-3/cases.go
+++ b/review/cell-3/cases.go
@@ -93,9 +93,13 @@
 	if c.trouble {
 		body := `{"task_spec":"work=1s","steps":[` + strings.TrimSuffix(strings.Repeat(stepFields, fieldSteps), ",") + `]}`
 		var crowd sync.WaitGroup
+		began := time.Now()
 		for client := range fieldClients {
 			crowd.Go(func() {
 				for i := range fieldJobs / fieldClients {
+					if time.Since(began) > crowdTime {
+						return
+					}
 					_ = c.submit(fmt.Sprintf("%016x", 0xc0000+client*0x1000+i), body, 1)
 				}
 			})
@@ -134,6 +138,7 @@
 	fieldSteps   = 1000
 	fieldJobs    = 240
 	fieldClients = 4
+	crowdTime    = 25 * time.Second // at most
 	observeTime  = 30 * time.Second
 	ordinaryTime = 10 * time.Second
 )
