--- a/review/cell-3/cases.go
+++ b/review/cell-3/cases.go
@@ -21,7 +21,7 @@
 // before an order to start the task reaches them, and are back a second later. The task is
 // at work on none of them when they crash.
 func unstarted(root, folder string) (verdict, string) {
-	c, err := newCell(root, folder, 3, 8, config(4))
+	c, err := newCell(root, folder, 3, 8, config(maxAttempts))
 	if err != nil {
 		return cannotRun, err.Error()
 	}
@@ -30,14 +30,17 @@
 	}
 	time.Sleep(2 * time.Second)
 	const id, task, most = "00000000000000a1", "00000000000000a1.0.0.0", 3
-	crashes := 0
+	crashes, under, down := 0, 0, false // guarded by c.mu
 	if c.trouble {
 		c.mu.Lock()
-		c.crashBefore = func(r *runner, ordered string) bool { // the caller holds the runner's mu
-			if ordered != task || crashes == most {
+		c.crashBefore = func(r *runner, ordered string) bool { // the caller holds the runner's mu and c.mu
+			if ordered != task || crashes == most || down {
 				return false
 			}
-			crashes++
+			crashes, down = crashes+1, true
+			if r.running[task] != nil {
+				under++
+			}
 			go func() {
 				time.Sleep(time.Second)
 				if err := r.start(); err != nil {
@@ -45,6 +48,9 @@
 					return
 				}
 				c.note("runner %s is back", r.id)
+				c.mu.Lock()
+				down = false
+				c.mu.Unlock()
 			}()
 			return true
 		}
@@ -60,22 +66,33 @@
 		}
 	}
 	c.mu.Lock()
-	starts, ends := len(c.starts[task]), strings.Join(c.ends[task], " ")
-	c.mu.Unlock()
-	text := fmt.Sprintf("the job is shown as %s; runs of its task that a runner has begun: %d, ends that runners listed: [%s], runners that crashed under a run of it: 0, before an order to start it reached them: %d", state, starts, ends, crashes)
-	if state == "failed" {
-		return broken, text
+	defer c.mu.Unlock()
+	failed := 0
+	for _, how := range c.ends[task] {
+		if how == "failed" {
+			failed++
+		}
 	}
-	if state != "completed" {
-		return cannotRun, text
+	text := fmt.Sprintf("the job is shown as %s; runs of its task that a runner has begun: %d, ends that runners listed: %v, runners that crashed before an order to start it reached them: %d, under a run of it: %d",
+		state, len(c.starts[task]), c.ends[task], crashes, under)
+	switch {
+	case state == "failed" && failed < maxAttempts && under < allowedCrashes:
+		return broken, text
+	case state == "failed" || state == "completed":
+		return held, text
 	}
-	return held, text
+	return cannotRun, text
 }
 
+const (
+	maxAttempts    = 4 // of the queue; a task that has failed so often fails its job
+	allowedCrashes = 2 // of runners under a task, from which its job may be shown as failed
+)
+
 // fields hands in jobs whose bodies are legal in size and made of very many short fields.
 // It then hands one ordinary job in.
 func fields(root, folder string) (verdict, string) {
-	c, err := newCell(root, folder, 3, 8, config(4))
+	c, err := newCell(root, folder, 3, 8, config(maxAttempts))
 	if err != nil {
 		return cannotRun, err.Error()
 	}
@@ -101,6 +118,7 @@
 						return
 					}
 					_ = c.submit(fmt.Sprintf("%016x", 0xc0000+client*0x1000+i), body, 1)
+					time.Sleep(fieldPause)
 				}
 			})
 		}
@@ -138,7 +156,8 @@
 	fieldSteps   = 1000
 	fieldJobs    = 240
 	fieldClients = 4
-	crowdTime    = 25 * time.Second // at most
+	fieldPause   = 165 * time.Millisecond // keeps the crowd below the tenant's weight, 30 jobs a second
+	crowdTime    = 25 * time.Second       // at most
 	observeTime  = 30 * time.Second
 	ordinaryTime = 10 * time.Second
 )
--- a/review/cell-3/cell.go
+++ b/review/cell-3/cell.go
@@ -49,6 +49,9 @@
 	crashBefore func(r *runner, task string) bool
 }
 
+// trouble tells whether the disruption is played.
+var trouble = true
+
 // running is the cell of this process.
 var running atomic.Pointer[cell]
 
@@ -97,7 +100,7 @@
 		return nil, err
 	}
 	c := &cell{
-		root: root, dir: dir, record: record, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", store: newStore(),
+		root: root, dir: dir, record: record, began: time.Now(), trouble: trouble, store: newStore(),
 		network: fmt.Sprintf("127.%d.%d", 1+rand.N(250), rand.N(250)),
 		starts:  map[string][]string{}, ends: map[string][]string{},
 	}
--- a/review/cell-3/main.go
+++ b/review/cell-3/main.go
@@ -30,8 +30,8 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cell-3 CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: cell-3 CASE FOLDER TROUBLE (0: without the disruption)")
 		os.Exit(int(cannotRun))
 	}
 	root, err := os.Getwd()
@@ -44,6 +44,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(int(cannotRun))
 	}
+	trouble = os.Args[3] != "0"
 	done := make(chan struct{})
 	result, text := cannotRun, "interrupted"
 	go func() {
